--- a/adapter/src/facts.rs
+++ b/adapter/src/facts.rs
@@ -1,6 +1,6 @@
 //! The settings of a server, as its first message gives them.
 
-use oathollow::{Below, Class, Halt, Repeat, Say, Settings, Tenant, WorthBy};
+use jaspershunt::{Below, Class, Halt, Repeat, Say, Settings, Tenant, WorthBy};
 use serde_json::Value;
 
 /// The names that later messages use.
--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -1,11 +1,11 @@
-//! Puts the oathollow module on a line-based wire: reads batches of events for many servers, hands each server's
-//! events to its own [`oathollow::Controller`], and prints what they ask for. It translates and decides nothing.
+//! Puts the jaspershunt module on a line-based wire: reads batches of events for many servers, hands each server's
+//! events to its own [`jaspershunt::Controller`], and prints what they ask for. It translates and decides nothing.
 
 mod facts;
 mod line;
 
 use line::{Fields, print_action, read_event};
-use oathollow::{Controller, Event};
+use jaspershunt::{Controller, Event};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Write as _};
 use std::io::{self, BufRead, Write};
--- a/adapter/src/line.rs
+++ b/adapter/src/line.rs
@@ -1,7 +1,7 @@
 //! Single lines of the wire: their fields, the events they carry, and how actions are printed.
 
 use crate::facts::Names;
-use oathollow::{Action, CallerId, Event, Gauges, Outcome, Request, RequestId};
+use jaspershunt::{Action, CallerId, Event, Gauges, Outcome, Request, RequestId};
 use std::fmt::Write;
 
 /// The events that the module has a use for; others are skipped.
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,14 +1,14 @@
-//! Runs the oathollow module on standard input and output. See `wire` for the lines.
+//! Runs the jaspershunt module on standard input and output. See `wire` for the lines.
 use std::io::{BufReader, BufWriter, stdin, stdout};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, stdin().lock());
     let output = BufWriter::with_capacity(1 << 16, stdout().lock());
-    match oathollow_adapter::serve(input, output) {
+    match jaspershunt_adapter::serve(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("oathollow-adapter: {problem}");
+            eprintln!("jaspershunt-adapter: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/tests/transcripts.rs
+++ b/adapter/tests/transcripts.rs
@@ -1,6 +1,6 @@
 //! Whole conversations on the wire, written here.
 
-use oathollow_adapter::serve;
+use jaspershunt_adapter::serve;
 
 const FACTS: &str = concat!(
     r#"{"classes":[{"name":"read","worth":1,"targetS":2,"deadlineS":4,"semantics":"free"},"#,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! oathollow decides, inside each server of a fleet, what the server takes, runs and turns away.
+//! jaspershunt decides, inside each server of a fleet, what the server takes, runs and turns away.
 //!
 //! A server owns one [`Controller`]. It tells the controller what happened, in batches, with its own clock, and does
 //! what the controller asks for. The controller has no clock, thread, timer or transport of its own.
@@ -9,7 +9,7 @@
 //! - Put the number of [`Action::Say`] on every answer, so that callers learn what they may send.
 //!
 //! ```
-//! use oathollow::*;
+//! use jaspershunt::*;
 //!
 //! let page = Class {
 //!     name: "page".into(), worth: 1.0, late_worth: 0.0, aim: 2.0, aim_stretch: 0.0, deadline: 5.0,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! Every decision of oathollow. The words it uses (settings, events, actions) are in `src/api.rs`;
+//! Every decision of jaspershunt. The words it uses (settings, events, actions) are in `src/api.rs`;
 //! the bookkeeping of what it remembers, which decides nothing, is in `src/state.rs`.
 //!
 //! The ordinary path is win-cont of "Application Layer Feedback-based SIP Server Overload Control", section
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A server small enough to work its numbers out by hand, and short ways to drive it.
 #![allow(dead_code)]
 
-use oathollow::*;
+use jaspershunt::*;
 
 pub fn class(name: &str, worth: f64, repeat: Repeat) -> Class {
     Class {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use oathollow::*;
+use jaspershunt::*;
 
 /// Runs `n` requests for `each` seconds apiece, one after the other, from `from` on; the id of the first is given.
 fn serve(server: &mut Server, n: u64, each: f64, from: f64, first: u64) -> f64 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use oathollow::*;
+use jaspershunt::*;
 
 #[test]
 fn running_work_is_failed_before_it_falls_due() {
