--- a/adapter/src/lib.rs
+++ b/adapter/src/lib.rs
@@ -1,11 +1,11 @@
 //! Puts the jaspershunt module on a line-based wire: reads batches of events for many servers, hands each server's
 //! events to its own [`jaspershunt::Controller`], and prints what they ask for. It translates and decides nothing.
 
-mod facts;
 mod line;
 
-use line::{Fields, print_action, read_event};
 use jaspershunt::{Controller, Event};
+use jaspershunt_settings::Names;
+use line::{Fields, print_action, read_event};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Write as _};
 use std::io::{self, BufRead, Write};
@@ -29,7 +29,7 @@
 /// A server's instance of the module, with the names that its settings gave.
 pub(crate) struct Server {
     controller: Controller,
-    names: facts::Names,
+    names: Names,
     inbox: Vec<Event>,
 }
 
@@ -118,7 +118,7 @@
     match fields.name {
         "HELLO" => {
             let number = fields.whole("instance")?;
-            let (settings, names) = facts::read(fields.text("facts")?)?;
+            let (settings, names) = jaspershunt_settings::read(fields.text("facts")?, "facts")?;
             let controller = Controller::new(settings).map_err(|e| e.to_string())?;
             servers.insert(number, Server { controller, names, inbox: Vec::new() });
             touched.insert(number);
--- a/adapter/src/line.rs
+++ b/adapter/src/line.rs
@@ -1,7 +1,7 @@
 //! Single lines of the wire: their fields, the events they carry, and how actions are printed.
 
-use crate::facts::Names;
 use jaspershunt::{Action, CallerId, Event, Gauges, Outcome, Request, RequestId};
+use jaspershunt_settings::{Names, gauge_mut};
 use std::fmt::Write;
 
 /// The events that the module has a use for; others are skipped.
@@ -116,16 +116,10 @@
     for pair in text.split(',').filter(|pair| !pair.is_empty()) {
         let (name, value) =
             pair.split_once(':').ok_or_else(|| format!("expected name:value at {:?}", clip(pair)))?;
-        let slot = match name {
-            "core_use" => &mut gauges.core_use,
-            "on_cores" => &mut gauges.on_cores,
-            "heap_share" => &mut gauges.memory_share,
-            "links" => &mut gauges.connections,
-            _ => continue,
-        };
+        let Some(place) = gauge_mut(&mut gauges, name) else { continue };
         // A reading may be a rounding below 0.
         let reading: Option<f64> = value.parse().ok().filter(|v: &f64| v.is_finite());
-        *slot = Some(reading.ok_or_else(|| format!("{name} must be a number, got {:?}", clip(value)))?);
+        *place = Some(reading.ok_or_else(|| format!("{name} must be a number, got {:?}", clip(value)))?);
     }
     Ok(gauges)
 }
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,179 @@
+//! The one place where configuration is read, checked and given defaults. Every message names the key at fault.
+
+use jaspershunt::Settings;
+use jaspershunt_settings::Names;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tinyjson::JsonValue;
+
+/// Time from the notice to leave to the kill, where none is given.
+const STOP_MS: f64 = 3000.0;
+/// The limits of a scored day, where none are given.
+const MEMORY_MB: f64 = 192.0;
+const SOCKETS: f64 = 1024.0;
+const MIN_MEMORY_MB: f64 = 32.0;
+const MIN_SOCKETS: f64 = 128.0;
+
+/// The part of the memory limit that kept results and keys may take, that of requests not read whole, and that
+/// of answers not written yet. The rest is for the program, its read buffers and the requests in hand.
+const KEPT_PART: usize = 4;
+const PARTIAL_PART: usize = 6;
+const UNWRITTEN_PART: usize = 6;
+/// Descriptors for what is not a balancer's connection: standard streams, the runtime, the listener, the
+/// interpreter, the directory, and the calls to the database.
+const OTHER_SOCKETS: usize = 96;
+/// The most of those that calls to the database take.
+const CALL_SOCKETS: usize = 64;
+
+/// What a nodo is told.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name in the directory.
+    pub name: String,
+    /// Where balancers connect.
+    pub listen: SocketAddr,
+    /// The interpreter.
+    pub interpreter: SocketAddr,
+    /// The directory.
+    pub directory: SocketAddr,
+    /// The database.
+    pub database: SocketAddr,
+    /// From the notice to leave to the kill.
+    pub stop: Duration,
+    /// What the module is told.
+    pub settings: Settings,
+    /// The names that the settings give.
+    pub names: Names,
+    /// Bounds that follow from the limits.
+    pub bounds: Bounds,
+}
+
+/// Bounds on memory and descriptors.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Balancers' connections open at once.
+    pub connections: usize,
+    /// Connections to the database open at once.
+    pub calls: usize,
+    /// Bytes of keys and kept results.
+    pub kept: usize,
+    /// Bytes of requests that are not read whole.
+    pub partial: usize,
+    /// Bytes of answers that are not written yet.
+    pub unwritten: usize,
+}
+
+/// A configuration that cannot be used: the key at fault, and what is wrong with it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError(String);
+
+impl std::fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn wrong<T>(key: &str, problem: impl std::fmt::Display) -> Result<T, ConfigError> {
+    Err(ConfigError(format!("{key} {problem}")))
+}
+
+/// Reads the configuration: the file that the variable `NODE_CONFIG` names, in which `NODE_NAME` and
+/// `NODE_LISTEN`, where they are set, take the place of `name` and `listen`.
+///
+/// # Errors
+/// The key or variable that is missing or wrong.
+pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let Some(path) = variable("NODE_CONFIG") else { return wrong("NODE_CONFIG", "is not set") };
+    match std::fs::read_to_string(&path) {
+        Ok(text) => read(&text, variable),
+        Err(e) => wrong("NODE_CONFIG", format_args!("names {path}, which cannot be read: {e}")),
+    }
+}
+
+/// Reads the configuration from its text; see [`load`].
+///
+/// # Errors
+/// The key or variable that is missing or wrong.
+pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let value: JsonValue = match text.parse() {
+        Ok(value) => value,
+        Err(e) => return wrong("NODE_CONFIG", format_args!("names a file that is not JSON: {e}")),
+    };
+    let Some(object) = value.get::<HashMap<String, JsonValue>>() else {
+        return wrong("NODE_CONFIG", "must hold an object");
+    };
+    let limits = match object.get("limits").filter(|v| !v.is_null()) {
+        None => HashMap::new(),
+        Some(JsonValue::Object(limits)) => limits.clone(),
+        Some(_) => return wrong("limits", "must be an object"),
+    };
+    let told = |name: &str, key: &str| match variable(name).filter(|value| !value.is_empty()) {
+        Some(value) => Ok((name.to_string(), value)),
+        None => Ok((key.to_string(), text_of(object, key)?)),
+    };
+    let (name_key, name) = told("NODE_NAME", "name")?;
+    // The name stands in a path as it is.
+    if name.is_empty() || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._~".contains(&b)) {
+        return wrong(&name_key, "must hold letters, digits, '-', '.', '_' or '~' only");
+    }
+    let (listen_key, listen) = told("NODE_LISTEN", "listen")?;
+    let stop_ms = number(object, "", "stop_ms", STOP_MS, 0.0)?;
+    let memory = number(&limits, "limits.", "memory_mb", MEMORY_MB, MIN_MEMORY_MB)? * 1024.0 * 1024.0;
+    let memory = memory as usize;
+    let sockets = number(&limits, "limits.", "sockets", SOCKETS, MIN_SOCKETS)? as usize;
+    let Some(settings) = object.get("settings") else { return wrong("settings", "is missing") };
+    let (settings, names) = jaspershunt_settings::from_value(settings, "settings").map_err(ConfigError)?;
+    if let Err(e) = settings.check() {
+        return wrong("settings:", e);
+    }
+    Ok(Config {
+        name,
+        listen: address(&listen_key, &listen)?,
+        interpreter: address("vm", &text_of(object, "vm")?)?,
+        directory: address("lookup", &text_of(object, "lookup")?)?,
+        database: address("db", &text_of(object, "db")?)?,
+        stop: Duration::from_secs_f64(stop_ms / 1000.0),
+        settings,
+        names,
+        bounds: Bounds {
+            connections: sockets - OTHER_SOCKETS,
+            calls: CALL_SOCKETS,
+            kept: memory / KEPT_PART,
+            partial: memory / PARTIAL_PART,
+            unwritten: memory / UNWRITTEN_PART,
+        },
+    })
+}
+
+fn text_of(object: &HashMap<String, JsonValue>, key: &str) -> Result<String, ConfigError> {
+    match object.get(key) {
+        Some(JsonValue::String(text)) => Ok(text.clone()),
+        Some(JsonValue::Null) | None => wrong(key, "is missing"),
+        Some(_) => wrong(key, "must be a text"),
+    }
+}
+
+/// A number of at least `least`, and small enough to be counted in bytes; `missing` where there is none.
+fn number(
+    object: &HashMap<String, JsonValue>,
+    path: &str,
+    key: &str,
+    missing: f64,
+    least: f64,
+) -> Result<f64, ConfigError> {
+    match object.get(key) {
+        None | Some(JsonValue::Null) => Ok(missing),
+        Some(JsonValue::Number(n)) if (least..1e9).contains(n) => Ok(*n),
+        Some(JsonValue::Number(_)) => {
+            wrong(&format!("{path}{key}"), format_args!("must be at least {least} and below 1e9"))
+        }
+        Some(_) => wrong(&format!("{path}{key}"), "must be a number"),
+    }
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().or_else(|_| wrong(key, format_args!("must be an IP address with a port, got {text:?}")))
+}
--- /dev/null
+++ b/node/src/database.rs
@@ -0,0 +1,147 @@
+//! Calls to the database that all nodos share.
+
+use crate::engine::Input;
+use crate::http;
+use jaspershunt::{Outcome, RequestId};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::{Instant, timeout};
+
+/// An idle connection is used again only within this time. The database closes them after 10 s, and a call that
+/// crosses such a close might have run.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// A call to make.
+#[derive(Debug)]
+pub struct Call {
+    /// The request that it is made for.
+    pub id: RequestId,
+    /// Tells the calls of a request apart.
+    pub number: u64,
+    /// What the database knows the request by.
+    pub uid: Rc<str>,
+    /// The body, as the interpreter gave it.
+    pub body: Vec<u8>,
+    /// The call is given up after this time.
+    pub give_up_after: Duration,
+    /// The call is given up when the other half is dropped.
+    pub given_up: oneshot::Receiver<()>,
+}
+
+/// How a call ended.
+#[derive(Debug, PartialEq)]
+pub struct CallEnd {
+    /// How.
+    pub outcome: Outcome,
+    /// The reply, if it went well.
+    pub body: Vec<u8>,
+}
+
+/// The pool of connections: the idle ones, the last used last.
+struct Pool {
+    address: SocketAddr,
+    idle: Vec<(Instant, TcpStream)>,
+}
+
+/// Makes the calls that come in, each in a task of its own and at most `most` at once, until no more can come.
+pub async fn make_calls(
+    address: SocketAddr,
+    most: usize,
+    engine: mpsc::Sender<Input>,
+    mut calls: mpsc::Receiver<Call>,
+) {
+    let pool = Rc::new(RefCell::new(Pool { address, idle: Vec::new() }));
+    let room = Rc::new(Semaphore::new(most));
+    while let Some(call) = calls.recv().await {
+        let (pool, room, engine) = (pool.clone(), room.clone(), engine.clone());
+        tokio::task::spawn_local(async move {
+            let Call { id, number, uid, body, give_up_after, mut given_up } = call;
+            let began = Instant::now();
+            tokio::select! {
+                biased;
+                // The connection closes as the call is dropped, which gives the call up below.
+                _ = &mut given_up => {}
+                end = make(&pool, &room, &uid, &body, give_up_after) => {
+                    let took = began.elapsed().as_secs_f64();
+                    let _ = engine.send(Input::CallEnded { id, number, end, took }).await;
+                }
+            }
+        });
+    }
+}
+
+async fn make(
+    pool: &RefCell<Pool>,
+    room: &Semaphore,
+    uid: &str,
+    body: &[u8],
+    give_up_after: Duration,
+) -> CallEnd {
+    let failed = |outcome| CallEnd { outcome, body: Vec::new() };
+    let exchange = async {
+        let Ok(_permit) = room.acquire().await else { return failed(Outcome::Unreachable) };
+        let reused = pool.borrow_mut().take();
+        let mut stream = match reused {
+            Some(stream) => stream,
+            None => {
+                let address = pool.borrow().address;
+                match TcpStream::connect(address).await {
+                    Ok(stream) => stream,
+                    // Without a connection nothing can have run.
+                    Err(_) => return failed(Outcome::Unreachable),
+                }
+            }
+        };
+        let _ = stream.set_nodelay(true);
+        match http::call(&mut stream, &request(uid, body, give_up_after)).await {
+            Ok(reply) => {
+                if http::reusable(&reply) {
+                    pool.borrow_mut().idle.push((Instant::now(), stream));
+                }
+                CallEnd { outcome: outcome(&reply), body: reply.body }
+            }
+            Err(_) => failed(Outcome::Broken),
+        }
+    };
+    timeout(give_up_after, exchange).await.unwrap_or_else(|_| failed(Outcome::GivenUp))
+}
+
+impl Pool {
+    /// An idle connection that is surely open.
+    fn take(&mut self) -> Option<TcpStream> {
+        let now = Instant::now();
+        self.idle.retain(|(since, stream)| now.duration_since(*since) < IDLE && http::alive(stream));
+        self.idle.pop().map(|(_, stream)| stream)
+    }
+}
+
+/// The bytes of a call.
+fn request(uid: &str, body: &[u8], give_up_after: Duration) -> Vec<u8> {
+    let ms = give_up_after.as_millis().max(1);
+    let head = format!(
+        "POST /v1/exec HTTP/1.1\r\nHost: database\r\nRequest-Ref: {uid}\r\nStatement-Timeout-Ms: {ms}\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// What a reply means. Only the marked refusals prove that nothing ran.
+fn outcome(reply: &http::Reply) -> Outcome {
+    match (reply.head.status, reply.head.never_started) {
+        (200, _) => Outcome::Done,
+        (503, true) => Outcome::TurnedAway,
+        (409, true) => Outcome::NotStarted,
+        (504, _) => Outcome::GivenUp,
+        _ => Outcome::Failed,
+    }
+}
+
+/// The error of a call that was never made, as there was no room for it.
+pub fn not_made() -> CallEnd {
+    CallEnd { outcome: Outcome::Unreachable, body: Vec::new() }
+}
--- /dev/null
+++ b/node/src/directory.rs
@@ -0,0 +1,84 @@
+//! Reports to the directory, from which balancers learn of this nodo.
+
+use crate::http;
+use crate::log;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// Between reports. An entry lapses 3 s after the last one.
+const REPORT_EVERY: Duration = Duration::from_millis(900);
+/// For one report; the next one tries again.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Between the attempts at a report that did not count.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// What is reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Takes work.
+    Open,
+    /// Takes no work.
+    Closed,
+}
+
+/// Reports the mode about once a second and at each change, through outages too; nothing while there is none yet.
+/// Ends when the mode can no longer change.
+pub async fn report(address: SocketAddr, name: &str, mut mode: watch::Receiver<Option<Mode>>) {
+    let mut stream = None;
+    let mut fails = false;
+    loop {
+        let told = *mode.borrow_and_update();
+        let mut next = Instant::now() + REPORT_EVERY;
+        if let Some(told) = told {
+            let sent = timeout(REPORT_TIMEOUT, put(address, name, told, stream.take())).await;
+            let (kept, failed) = match sent {
+                Ok(Ok(kept)) => (kept, None),
+                Ok(Err(e)) => (None, Some(e)),
+                Err(_) => (None, Some(io::ErrorKind::TimedOut.into())),
+            };
+            stream = kept;
+            if let Some(e) = &failed {
+                next = Instant::now() + RETRY_AFTER;
+                if !fails {
+                    log!("directory: report failed: {e}");
+                }
+            }
+            fails = failed.is_some();
+        }
+        tokio::select! {
+            () = sleep_until(next) => {}
+            changed = mode.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// One report; returns the connection if it can carry the next one.
+async fn put(
+    address: SocketAddr,
+    name: &str,
+    mode: Mode,
+    stream: Option<TcpStream>,
+) -> io::Result<Option<TcpStream>> {
+    let mut stream = match stream.filter(http::alive) {
+        Some(stream) => stream,
+        None => TcpStream::connect(address).await?,
+    };
+    let body = match mode {
+        Mode::Open => r#"{"mode":"open"}"#,
+        Mode::Closed => r#"{"mode":"closed"}"#,
+    };
+    let request = format!(
+        "PUT /dir/nodes/{name} HTTP/1.1\r\nHost: directory\r\nContent-Type: application/json\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let reply = http::call(&mut stream, request.as_bytes()).await?;
+    if reply.head.status != 204 {
+        return Err(io::Error::other(format!("status {}", reply.head.status)));
+    }
+    Ok(http::reusable(&reply).then_some(stream))
+}
--- /dev/null
+++ b/node/src/engine.rs
@@ -0,0 +1,698 @@
+//! The one task that owns the decision module and the state of every request.
+//!
+//! Everything reaches it through one queue. It takes all that is queued, tells the module in one step, and carries
+//! out what the module asks for in order. It knows no protocol and never waits on a socket: what it wants done
+//! elsewhere it hands to the tasks of the interpreter, the database, the directory and the connections.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::database::{self, CallEnd};
+use crate::directory::Mode;
+use crate::interpreter::{Command, Message, RunEnd};
+use crate::keys::{Full, Keys, Run};
+use crate::log;
+use crate::request::{Answer, Key, Reply, ReplyTo, Work};
+use jaspershunt::{Action, Controller, Event, Gauges, Halt, Outcome, Repeat, Request, RequestId, Settings};
+use jaspershunt_settings::{Names, gauge_mut};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep};
+
+/// What may wait for the engine at once; those who have more to say wait.
+pub const QUEUE: usize = 1024;
+/// Calls that wait to be made.
+pub const CALLS: usize = 1024;
+/// A wake waits so long for the gauges; then it goes without.
+const GAUGES_WAIT: Duration = Duration::from_millis(15);
+/// A run whose end is not heard of this long after its answer is given up: its notice is lost. Ours, longer than any
+/// pause of a machine.
+const LOST_AFTER: Duration = Duration::from_secs(40);
+/// Seconds that a key is remembered beyond its window: the rule allows the window's end 50 ms, and the same again.
+const WINDOW_SLACK: f64 = 0.1;
+/// The module's clock shows this at the start, so that the start of the interpreter is not before 0.
+const CLOCK_START: f64 = 1e5;
+
+/// What reaches the engine.
+#[derive(Debug)]
+pub enum Input {
+    /// A try of a request was read.
+    Work {
+        /// Its id in this program.
+        id: RequestId,
+        /// The try.
+        work: Work,
+        /// Where its reply goes.
+        reply: ReplyTo,
+    },
+    /// A health check was read.
+    Check {
+        /// Where its reply goes.
+        reply: ReplyTo,
+    },
+    /// The caller of a try has gone.
+    Gone {
+        /// The try.
+        id: RequestId,
+    },
+    /// More connections are wanted than may be open.
+    Crowded,
+    /// The interpreter told something.
+    Heard(Message),
+    /// The link to the interpreter is up, and all that was missed has been heard.
+    LinkUp,
+    /// It is down.
+    LinkDown,
+    /// A call ended.
+    CallEnded {
+        /// Its request.
+        id: RequestId,
+        /// Which call of the request it was.
+        number: u64,
+        /// How it ended.
+        end: CallEnd,
+        /// How long it took, in seconds.
+        took: f64,
+    },
+    /// The time of an [`Action::Wake`] has come.
+    Woke {
+        /// Its token.
+        token: u64,
+    },
+    /// The gauges asked for with this tag have been waited for long enough.
+    NoGauges {
+        /// The tag.
+        tag: u64,
+    },
+    /// The end of a run that was answered has been waited for long enough.
+    Lost {
+        /// The request.
+        id: RequestId,
+    },
+    /// The nodo is to leave.
+    Leave,
+}
+
+/// Which of balancers' idle connections are closed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Idle {
+    /// Those that have been idle for this long.
+    pub limit: Duration,
+    /// Whether that goes for all time to come, and not only for this moment.
+    pub standing: bool,
+}
+
+impl Default for Idle {
+    /// None are closed.
+    fn default() -> Idle {
+        Idle { limit: Duration::MAX, standing: false }
+    }
+}
+
+/// The ways to the other tasks.
+pub struct Ways {
+    /// To the engine itself, for timers.
+    pub engine: mpsc::WeakSender<Input>,
+    /// To the interpreter.
+    pub interpreter: mpsc::Sender<Command>,
+    /// To the database.
+    pub database: mpsc::Sender<database::Call>,
+    /// What the directory is told.
+    pub directory: watch::Sender<Option<Mode>>,
+    /// How long connections may be idle.
+    pub idle: watch::Sender<Idle>,
+    /// How many requests are owed an answer.
+    pub owed: watch::Sender<usize>,
+}
+
+/// Where the run of a request is.
+enum Place {
+    /// Not started, or stopped and to be started anew.
+    Held,
+    /// The interpreter has it.
+    Running,
+    /// It waits for a call.
+    AtCall {
+        /// The notice that asked for the call.
+        pos: u64,
+        /// The call's body.
+        content: Vec<u8>,
+        /// The number of the call that was made, and what gives it up when dropped.
+        made: Option<(u64, oneshot::Sender<()>)>,
+    },
+    /// Waits for the run of another try of its key.
+    Follows,
+}
+
+struct Entry {
+    uid: Rc<str>,
+    class: usize,
+    key: Option<Key>,
+    body: Rc<[u8]>,
+    /// When it came to the machine, on the module's clock.
+    arrived: f64,
+    /// Where the answer goes, while one is owed.
+    reply: Option<ReplyTo>,
+    place: Place,
+    /// It was started at least once.
+    started: bool,
+}
+
+impl Entry {
+    fn runs(&self) -> bool {
+        matches!(self.place, Place::Running | Place::AtCall { .. })
+    }
+}
+
+/// The task's state.
+pub struct Engine {
+    clock: Clock,
+    /// Unix time at which the module's clock shows 0.
+    epoch: f64,
+    now: f64,
+    settings: Settings,
+    names: Names,
+    classes: Vec<Rc<str>>,
+    stop: Duration,
+    ways: Ways,
+    /// The module, from when the interpreter is up: only then it is known how warm that is.
+    module: Option<Controller>,
+    requests: BTreeMap<RequestId, Entry>,
+    by_uid: HashMap<Rc<str>, RequestId>,
+    keys: Keys,
+    followers: BTreeMap<Key, Vec<RequestId>>,
+    /// What the module has not been told yet.
+    events: Vec<Event>,
+    say: Option<f64>,
+    good: bool,
+    link_up: bool,
+    calls: u64,
+    /// Wakes that wait for the gauges, and the tag under which those were asked for.
+    wakes: Vec<u64>,
+    tag: u64,
+    owed: usize,
+}
+
+impl Engine {
+    /// An engine that has heard nothing yet.
+    pub fn new(config: &Config, clock: Clock, ways: Ways) -> Engine {
+        Engine {
+            clock,
+            epoch: clock.now() - CLOCK_START,
+            now: CLOCK_START,
+            settings: config.settings.clone(),
+            names: config.names.clone(),
+            classes: config.settings.classes.iter().map(|c| c.name.as_str().into()).collect(),
+            stop: config.stop,
+            ways,
+            module: None,
+            requests: BTreeMap::new(),
+            by_uid: HashMap::new(),
+            keys: Keys::new(config.bounds.kept),
+            followers: BTreeMap::new(),
+            events: Vec::new(),
+            say: None,
+            good: true,
+            link_up: false,
+            calls: 0,
+            wakes: Vec::new(),
+            tag: 0,
+            owed: 0,
+        }
+    }
+
+    /// Works until nothing can reach it any more.
+    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        let mut batch = Vec::with_capacity(QUEUE);
+        while inputs.recv_many(&mut batch, QUEUE).await > 0 {
+            self.round(batch.drain(..));
+        }
+    }
+
+    /// Takes in all of a batch, then steps the module once, and again while carrying out what it asks for gives it
+    /// news.
+    pub fn round(&mut self, batch: impl IntoIterator<Item = Input>) {
+        // The module's clock never goes back, whatever the system's does.
+        self.now = self.now.max(self.clock.now() - self.epoch);
+        self.keys.expire(self.now);
+        for input in batch {
+            self.take(input);
+        }
+        let mut actions = Vec::new();
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            let Some(module) = &mut self.module else { break };
+            module.step(self.now, &events, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+        self.ways.owed.send_if_modified(|owed| std::mem::replace(owed, self.owed) != self.owed);
+    }
+
+    /// Takes in one thing. What concerns the module is put among its events.
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Work { id, work, reply } => self.arrive(id, work, reply),
+            Input::Check { reply } => {
+                reply.send(Reply { answer: Answer::Health { good: self.good }, say: self.say });
+            }
+            Input::Gone { id } => self.gone(id),
+            Input::Crowded => self.close_idle(Duration::ZERO),
+            Input::Heard(message) => self.heard(message),
+            Input::LinkUp => self.link_up = true,
+            Input::LinkDown => {
+                self.link_up = false;
+                self.wake(Gauges::default());
+            }
+            Input::CallEnded { id, number, end, took } => self.call_ended(id, number, end, took),
+            Input::Woke { token } => {
+                self.wakes.push(token);
+                if !self.link_up {
+                    self.wake(Gauges::default());
+                } else if self.wakes.len() == 1 {
+                    self.ask_gauges();
+                }
+            }
+            Input::NoGauges { tag } if tag == self.tag => self.wake(Gauges::default()),
+            Input::NoGauges { .. } => {}
+            Input::Lost { id } => self.lost(id),
+            Input::Leave => {
+                self.events.push(Event::Leave { within: self.stop.as_secs_f64() });
+            }
+        }
+    }
+
+    // Requests.
+
+    fn arrive(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
+        let say = self.say;
+        if self.module.is_none() {
+            // No request comes before the interpreter is up; one that does finds a nodo that cannot run it.
+            let stay_away = self.settings.max_stay_away;
+            reply.send(Reply { answer: Answer::Refused { stay_away, last: false }, say });
+            return;
+        }
+        if self.by_uid.contains_key(&work.uid) {
+            log!("request {} is here already", work.uid);
+            reply.send(Reply { answer: Answer::Bad, say });
+            return;
+        }
+        let mut repeats = None;
+        if let Some(key) = &work.key {
+            let requests = &self.requests;
+            let held = |id| requests.get(&id).is_some_and(|e| matches!(e.place, Place::Held) && !e.started);
+            match self.keys.arrived(key, id, self.now, held) {
+                Ok(earlier) => repeats = earlier,
+                // What cannot be remembered cannot be kept from running twice.
+                Err(Full) => {
+                    let stay_away = self.settings.max_stay_away;
+                    reply.send(Reply { answer: Answer::Refused { stay_away, last: false }, say });
+                    return;
+                }
+            }
+        }
+        let arrived = work.arrived.map_or(self.now, |unix| (unix - self.epoch).min(self.now));
+        self.events.push(Event::Arrived(Request {
+            id,
+            class: work.class,
+            tenant: work.tenant,
+            caller: work.caller,
+            waited: self.now - arrived,
+            time_left: None,
+            cost_hint: work.cost_hint,
+            held_kb: work.held_kb,
+            rank: work.rank,
+            retry: work.resent,
+            repeats,
+        }));
+        self.by_uid.insert(work.uid.clone(), id);
+        self.owed += 1;
+        let entry = Entry {
+            uid: work.uid,
+            class: work.class,
+            key: work.key,
+            body: work.body.into(),
+            arrived,
+            reply: Some(reply),
+            place: Place::Held,
+            started: false,
+        };
+        self.requests.insert(id, entry);
+    }
+
+    /// The one place from which requests are answered: the way there is used up with the answer.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Some(reply) = entry.reply.take() else { return };
+        reply.send(Reply { answer, say: self.say });
+        self.owed -= 1;
+        self.let_go(id);
+    }
+
+    fn gone(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|entry| entry.reply.is_some()) {
+            self.events.push(Event::Withdrawn { id });
+            self.answer(id, Answer::Failed);
+        }
+    }
+
+    /// No answer is owed any more: the request is over, unless it still runs.
+    fn let_go(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get(&id) else { return };
+        if entry.runs() {
+            self.after(LOST_AFTER, Input::Lost { id });
+        } else {
+            self.remove(id);
+        }
+    }
+
+    fn remove(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.remove(&id) else { return };
+        self.by_uid.remove(&entry.uid);
+        if let Some(key) = &entry.key {
+            self.keys.forget(key, id);
+            if entry.started {
+                self.key_ended(&key.clone(), id, None);
+            }
+        }
+    }
+
+    /// Guards against a notice that never comes: the run would take a place in the module for ever.
+    fn lost(&mut self, id: RequestId) {
+        if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs()) {
+            log!("the end of run {} was never heard of", entry.uid);
+            self.events.push(Event::Ended { id, outcome: Outcome::Stopped });
+            self.remove(id);
+        }
+    }
+
+    // The interpreter.
+
+    fn heard(&mut self, message: Message) {
+        match message {
+            Message::Banner { cold, age } => self.start(cold, age),
+            Message::Value { uid, end, .. } => {
+                if let Some(id) = self.by_uid.get(&uid).copied() {
+                    self.run_ended(id, end);
+                }
+            }
+            Message::Await { pos, uid, content } => {
+                let Some(id) = self.by_uid.get(&uid).copied() else { return };
+                let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
+                entry.place = Place::AtCall { pos, content, made: None };
+                self.events.push(Event::CallWanted { id });
+            }
+            Message::Gauges { tag, readings, .. } => {
+                if tag != 0 && tag == self.tag {
+                    let mut gauges = Gauges::default();
+                    for (name, reading) in self.names.gauges.iter().zip(readings) {
+                        if let Some(place) = gauge_mut(&mut gauges, name) {
+                            *place = reading;
+                        }
+                    }
+                    self.wake(gauges);
+                }
+            }
+            Message::Rejected { command, uid } => {
+                // An order to stop may cross the end of its run.
+                if command != "BREAK" {
+                    log!("interpreter: {command} of {uid} was not carried out");
+                }
+                if let Some(id) = self.by_uid.get(&uid).copied()
+                    && command == "APPLY"
+                {
+                    self.run_ended(id, RunEnd::NotStarted);
+                }
+            }
+            Message::Remark { .. } => {}
+        }
+    }
+
+    /// The interpreter is up: the module begins at its start, and takes requests from now on.
+    fn start(&mut self, cold: bool, age: f64) {
+        if self.module.is_some() {
+            return;
+        }
+        let settings = Settings { cold, ..self.settings.clone() };
+        let Ok(mut module) = Controller::new(settings) else { return };
+        let mut actions = Vec::new();
+        module.step(self.now - age.min(CLOCK_START), &[], &mut actions);
+        self.module = Some(module);
+        for action in actions {
+            self.carry_out(action);
+        }
+        log!("interpreter is up since {age:.3} s, {}", if cold { "cold" } else { "warm" });
+    }
+
+    fn run_ended(&mut self, id: RequestId, end: RunEnd) {
+        let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
+        // A call that is still out is given up with this.
+        entry.place = Place::Held;
+        let key = entry.key.clone();
+        let over = entry.reply.is_none();
+        let outcome = match end {
+            RunEnd::Done(result) => {
+                let result: Rc<[u8]> = result.into();
+                if let Some(key) = &key {
+                    self.key_ended(key, id, Some(result.clone()));
+                }
+                self.answer(id, Answer::Served(result));
+                Outcome::Done
+            }
+            RunEnd::Failed => {
+                self.answer(id, Answer::Failed);
+                Outcome::Failed
+            }
+            RunEnd::Stopped => Outcome::Stopped,
+            RunEnd::NotStarted => Outcome::NotStarted,
+        };
+        if let Some(key) = &key {
+            self.key_ended(key, id, None);
+        }
+        if over {
+            self.remove(id);
+        }
+        self.events.push(Event::Ended { id, outcome });
+    }
+
+    /// The run of a key is over: those that wait for it get what it made. Only the first report counts.
+    fn key_ended(&mut self, key: &Key, id: RequestId, result: Option<Rc<[u8]>>) {
+        self.keys.ended(key, id, result.clone());
+        for follower in self.followers.remove(key).unwrap_or_default() {
+            self.serve_from(follower, result.clone());
+        }
+    }
+
+    fn serve_from(&mut self, id: RequestId, result: Option<Rc<[u8]>>) {
+        if self.requests.get(&id).is_none_or(|entry| entry.reply.is_none()) {
+            return;
+        }
+        let (answer, outcome) = match result {
+            Some(result) => (Answer::Served(result), Outcome::Done),
+            None => (Answer::Failed, Outcome::Failed),
+        };
+        self.answer(id, answer);
+        self.events.push(Event::Ended { id, outcome });
+    }
+
+    fn command(&self, command: Command) -> bool {
+        let sent = self.ways.interpreter.try_send(command).is_ok();
+        if !sent {
+            log!("interpreter: too many commands wait");
+        }
+        sent
+    }
+
+    // Gauges.
+
+    fn ask_gauges(&mut self) {
+        self.tag += 1;
+        let tag = self.tag;
+        if self.command(Command::Gauges { tag }) {
+            self.after(GAUGES_WAIT, Input::NoGauges { tag });
+        } else {
+            self.wake(Gauges::default());
+        }
+    }
+
+    /// Passes on all wakes that have come.
+    fn wake(&mut self, gauges: Gauges) {
+        // What was asked for under the present tag has come, or is waited for no more.
+        self.tag += 1;
+        let wakes = self.wakes.drain(..).map(|token| Event::Woke { token, gauges });
+        self.events.extend(wakes);
+    }
+
+    // Calls.
+
+    fn call_ended(&mut self, id: RequestId, number: u64, end: CallEnd, took: f64) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Place::AtCall { made, .. } = &mut entry.place else { return };
+        // A call that was given up for a later one says nothing any more.
+        if made.as_ref().is_none_or(|(made, _)| *made != number) {
+            return;
+        }
+        *made = None;
+        if end.outcome == Outcome::Done {
+            entry.place = Place::Running;
+            let uid = entry.uid.clone();
+            self.command(Command::Resolve { uid, content: end.body });
+        }
+        self.events.push(Event::CallEnded { id, outcome: end.outcome, took });
+    }
+
+    fn make_call(&mut self, id: RequestId, give_up_after: f64) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Place::AtCall { content, made, .. } = &mut entry.place else { return };
+        let deadline = self.settings.classes[entry.class].deadline;
+        let give_up_after = if give_up_after > 0.0 { give_up_after.min(deadline) } else { deadline };
+        self.calls += 1;
+        let number = self.calls;
+        let (give_up, given_up) = oneshot::channel();
+        // An earlier call of this request is given up as its place is taken.
+        *made = Some((number, give_up));
+        let call = database::Call {
+            id,
+            number,
+            uid: entry.uid.clone(),
+            body: content.clone(),
+            give_up_after: Duration::from_secs_f64(give_up_after),
+            given_up,
+        };
+        if self.ways.database.try_send(call).is_err() {
+            self.call_ended(id, number, database::not_made(), 0.0);
+        }
+    }
+
+    // What the module asks for.
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Run(id) => self.start_run(id),
+            Action::Stop(id) => {
+                if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs()) {
+                    self.command(Command::Break { uid: entry.uid.clone() });
+                }
+            }
+            Action::Refuse { id, stay_away, last } => self.refuse(id, stay_away, last),
+            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::ServeFrom(id) => self.follow(id),
+            Action::Call { id, give_up_after } => self.make_call(id, give_up_after),
+            Action::SkipCall(id) => {
+                if let Some(entry) = self.requests.get_mut(&id)
+                    && let Place::AtCall { pos, .. } = entry.place
+                {
+                    entry.place = Place::Running;
+                    let uid = entry.uid.clone();
+                    self.command(Command::Stub { uid, pos });
+                }
+            }
+            Action::Keep { id, .. } => {
+                if let Some(key) = self.requests.get(&id).and_then(|entry| entry.key.clone()) {
+                    self.keys.hold(&key, id);
+                }
+            }
+            Action::Forget(id) => {
+                if let Some(key) = self.requests.get(&id).and_then(|entry| entry.key.clone()) {
+                    self.keys.forget(&key, id);
+                }
+            }
+            Action::Say(value) => self.say = Some(value),
+            Action::Health { good, .. } => {
+                self.good = good;
+                let mode = if good { Mode::Open } else { Mode::Closed };
+                self.ways.directory.send_replace(Some(mode));
+            }
+            Action::CloseIdle(after) => {
+                let after = if after > 0.0 { after } else { self.settings.idle };
+                self.close_idle(Duration::from_secs_f64(after));
+            }
+            Action::Wake { after, token } => {
+                self.after(Duration::from_secs_f64(after.max(0.0)), Input::Woke { token });
+            }
+            Action::Note(text) => log!("{text}"),
+        }
+    }
+
+    /// Starts a run, or takes up a paused one. The module keeps keyed requests from running twice; this guards the
+    /// rule once more, with the nodo's own record of what ran: such a try gets what that run made.
+    fn start_run(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let resumes = entry.started && self.settings.halt == Halt::Pause;
+        if let Some(key) = entry.key.clone()
+            && !resumes
+        {
+            if self.keys.run(&key).is_some() {
+                log!("request {} must not run: another try of it did", entry.uid);
+                return self.follow(id);
+            }
+            let window = match self.settings.classes[entry.class].repeat {
+                Repeat::Keyed(window) => window,
+                _ => 0.0,
+            };
+            self.keys.started(&key, id, entry.arrived + window + WINDOW_SLACK);
+        }
+        entry.place = Place::Running;
+        entry.started = true;
+        let command = Command::Apply {
+            uid: entry.uid.clone(),
+            class: self.classes[entry.class].clone(),
+            body: entry.body.clone(),
+        };
+        if !self.command(command) {
+            self.run_ended(id, RunEnd::NotStarted);
+        }
+    }
+
+    /// A try may be turned away only if nothing of its key ran here; else it fails, which promises nothing.
+    fn refuse(&mut self, id: RequestId, stay_away: f64, last: bool) {
+        let Some(entry) = self.requests.get(&id) else { return };
+        let unsafe_ran = entry.started && !matches!(self.settings.classes[entry.class].repeat, Repeat::Safe);
+        let key_ran = entry.key.as_ref().is_some_and(|key| self.keys.run(key).is_some());
+        if unsafe_ran || key_ran {
+            log!("request {} must not be turned away: it ran", entry.uid);
+            self.answer(id, Answer::Failed);
+        } else {
+            self.answer(id, Answer::Refused { stay_away, last });
+        }
+    }
+
+    /// Answers a try with what the run of its key makes or made.
+    fn follow(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Some(key) = entry.key.clone() else {
+            return self.serve_from(id, None);
+        };
+        match self.keys.run(&key).cloned() {
+            Some(Run::Running) => {
+                entry.place = Place::Follows;
+                self.followers.entry(key).or_default().push(id);
+            }
+            Some(Run::Done(result)) => self.serve_from(id, Some(result)),
+            Some(Run::Failed) | None => self.serve_from(id, None),
+        }
+    }
+
+    fn close_idle(&self, limit: Duration) {
+        self.ways.idle.send_if_modified(|idle| {
+            if !idle.standing {
+                *idle = Idle { limit, standing: false };
+            }
+            !idle.standing
+        });
+    }
+
+    /// Sends the engine something after a time; each wait has a timer of its own.
+    fn after(&self, time: Duration, input: Input) {
+        let engine = self.ways.engine.clone();
+        let at = Instant::now() + time;
+        tokio::task::spawn_local(async move {
+            sleep(at.saturating_duration_since(Instant::now())).await;
+            if let Some(engine) = engine.upgrade() {
+                let _ = engine.send(input).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/node/src/fastcgi/mod.rs
@@ -0,0 +1,6 @@
+//! FastCGI 1.0, in the role of an application that answers as Responder: [`records`] has its records, parameters and
+//! answers, [`requests`] puts requests together from records, and [`connection`] does both on sockets.
+
+pub mod connection;
+pub mod records;
+pub mod requests;
--- /dev/null
+++ b/node/src/fastcgi/requests.rs
@@ -0,0 +1,229 @@
+//! Puts the requests of one connection together from its records, and answers the records that need no decision.
+
+use super::records::*;
+use crate::request::MAX_BODY;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Requests that may be open on a connection.
+pub const MAX_OPEN: usize = 32;
+/// The most bytes of parameters of one request; those that are asked for take a tenth of that.
+const MAX_PARAMS: usize = 8 * 1024;
+
+/// Bytes that all connections together may hold, so that no number of peers can take the memory.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    used: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl Budget {
+    /// Nothing is used yet.
+    pub fn new(most: usize) -> Budget {
+        Budget { used: Rc::default(), most }
+    }
+
+    /// Takes so many bytes; whether there was room.
+    pub fn take(&self, bytes: usize) -> bool {
+        let used = self.used.get() + bytes;
+        let fits = used <= self.most;
+        if fits {
+            self.used.set(used);
+        }
+        fits
+    }
+
+    /// Gives back what was taken.
+    pub fn give(&self, bytes: usize) {
+        self.used.set(self.used.get().saturating_sub(bytes));
+    }
+}
+
+/// A request whose last byte was read.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Whole {
+    /// Its id on the connection.
+    pub id: u16,
+    /// The parameters, still packed; `None` if the request is over its size.
+    pub params: Option<Vec<u8>>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// What a record led to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing yet.
+    Nothing,
+    /// A request is whole.
+    Whole(Whole),
+    /// The caller of a whole request has gone.
+    Aborted(u16),
+    /// A request ended before it was whole, with what was written to `out`.
+    Ended {
+        /// Whether the connection is to be closed.
+        close: bool,
+    },
+}
+
+struct Open {
+    keep_conn: bool,
+    params: Vec<u8>,
+    params_ended: bool,
+    body: Vec<u8>,
+    oversize: bool,
+    whole: bool,
+}
+
+/// The requests that are open on one connection.
+pub struct Requests {
+    open: BTreeMap<u16, Open>,
+    budget: Budget,
+}
+
+impl Requests {
+    /// None are open.
+    pub fn new(budget: Budget) -> Requests {
+        Requests { open: BTreeMap::new(), budget }
+    }
+
+    /// How many are open.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether none are open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// The whole ones that have not been closed.
+    pub fn unanswered(&self) -> impl Iterator<Item = u16> {
+        self.open.iter().filter(|(_, open)| open.whole).map(|(id, _)| *id)
+    }
+
+    /// A request was answered; whether the connection is to be closed after it.
+    pub fn close(&mut self, id: u16) -> bool {
+        let Some(open) = self.open.remove(&id) else { return false };
+        self.budget.give(open.params.len() + open.body.len());
+        !open.keep_conn
+    }
+
+    /// Takes in a record. What can be answered at once is written to `out`.
+    ///
+    /// # Errors
+    /// A record that begins a request and has another length than such a record has.
+    pub fn take(&mut self, record: &Record, out: &mut Vec<u8>) -> Result<Step, LostFraming> {
+        if record.id == 0 {
+            manage(record, out);
+            return Ok(Step::Nothing);
+        }
+        if record.kind == kind::BEGIN_REQUEST {
+            return self.begin(record, out);
+        }
+        // Records of requests that are not open are left over from answered ones: the protocol has them ignored.
+        let Some(open) = self.open.get_mut(&record.id) else { return Ok(Step::Nothing) };
+        match record.kind {
+            kind::ABORT_REQUEST if open.whole => return Ok(Step::Aborted(record.id)),
+            kind::ABORT_REQUEST => {
+                put_end(out, record.id, ProtocolStatus::RequestComplete);
+                return Ok(Step::Ended { close: self.close(record.id) });
+            }
+            kind::PARAMS if !open.params_ended && record.content.is_empty() => open.params_ended = true,
+            kind::PARAMS if !open.params_ended => {
+                let fits =
+                    grow(&mut open.params, record.content, MAX_PARAMS, &mut open.oversize, &self.budget);
+                if !fits {
+                    return Ok(self.overloaded(record.id, out));
+                }
+            }
+            kind::STDIN if !open.whole && record.content.is_empty() && open.params_ended => {
+                open.whole = true;
+                self.budget.give(open.params.len() + open.body.len());
+                let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
+                let params = if open.oversize { None } else { Some(params) };
+                return Ok(Step::Whole(Whole { id: record.id, params, body }));
+            }
+            kind::STDIN if !open.whole => {
+                let fits = grow(&mut open.body, record.content, MAX_BODY, &mut open.oversize, &self.budget);
+                if !fits {
+                    return Ok(self.overloaded(record.id, out));
+                }
+            }
+            _ => {}
+        }
+        Ok(Step::Nothing)
+    }
+
+    fn begin(&mut self, record: &Record, out: &mut Vec<u8>) -> Result<Step, LostFraming> {
+        let begin = begin(record.content)?;
+        if self.open.contains_key(&record.id) {
+            // Which of the two the records to come belong to cannot be told.
+            return Err(LostFraming);
+        }
+        if begin.role != RESPONDER {
+            put_end(out, record.id, ProtocolStatus::UnknownRole);
+            return Ok(Step::Ended { close: !begin.keep_conn });
+        }
+        if self.open.len() >= MAX_OPEN {
+            put_end(out, record.id, ProtocolStatus::Overloaded);
+            return Ok(Step::Ended { close: !begin.keep_conn });
+        }
+        let open = Open {
+            keep_conn: begin.keep_conn,
+            params: Vec::new(),
+            params_ended: false,
+            body: Vec::new(),
+            oversize: false,
+            whole: false,
+        };
+        self.open.insert(record.id, open);
+        Ok(Step::Nothing)
+    }
+
+    /// There is no memory for more of this request, which therefore never runs.
+    fn overloaded(&mut self, id: u16, out: &mut Vec<u8>) -> Step {
+        put_end(out, id, ProtocolStatus::Overloaded);
+        Step::Ended { close: self.close(id) }
+    }
+}
+
+impl Drop for Requests {
+    fn drop(&mut self) {
+        let bytes = self.open.values().map(|open| open.params.len() + open.body.len()).sum();
+        self.budget.give(bytes);
+    }
+}
+
+/// Appends to a part of a request. Beyond its bound the part is dropped and only the rest of the request is waited
+/// for, since the connection lives on. Whether the budget had room.
+fn grow(part: &mut Vec<u8>, more: &[u8], most: usize, oversize: &mut bool, budget: &Budget) -> bool {
+    if *oversize || part.len() + more.len() > most {
+        *oversize = true;
+        budget.give(part.len());
+        *part = Vec::new();
+        return true;
+    }
+    let fits = budget.take(more.len());
+    if fits {
+        part.extend(more);
+    }
+    fits
+}
+
+/// Answers a management record.
+fn manage(record: &Record, out: &mut Vec<u8>) {
+    if record.kind != kind::GET_VALUES {
+        put_record(out, kind::UNKNOWN_TYPE, 0, &[record.kind, 0, 0, 0, 0, 0, 0, 0]);
+        return;
+    }
+    let mut values = Vec::new();
+    let wanted = pairs(record.content).unwrap_or_default();
+    for (name, value) in [("FCGI_MAX_CONNS", "512"), ("FCGI_MAX_REQS", "16384"), ("FCGI_MPXS_CONNS", "1")] {
+        if wanted.iter().any(|(n, _)| *n == name.as_bytes()) {
+            put_pair(&mut values, name.as_bytes(), value.as_bytes());
+        }
+    }
+    put_record(out, kind::GET_VALUES_RESULT, 0, &values);
+}
--- /dev/null
+++ b/node/src/interpreter.rs
@@ -0,0 +1,395 @@
+//! The link to the interpreter: its messages, and a task that keeps the link, through breaks too.
+//!
+//! Commands stay here until it is certain that they arrived: the interpreter takes them in order, so the answer to a
+//! [`Command::Gauges`] vouches for all before it. After a break the link first hears all that it missed, and then
+//! sends again what may not have arrived and still makes sense.
+
+use crate::engine::Input;
+use crate::log;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tinyjson::JsonValue;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// The longest line that is read: a result of 4 KiB in base64, with room to spare.
+const MAX_LINE: usize = 64 * 1024;
+/// Arrays and objects in one line. The parser of JSON goes down into each, so their number bounds its stack.
+const MAX_NESTED: usize = 64;
+/// Between attempts to connect.
+const RECONNECT: Duration = Duration::from_millis(100);
+/// Commands that wait to be sent.
+pub const QUEUE: usize = 4096;
+
+/// What the interpreter is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Run a request.
+    Apply {
+        /// The request.
+        uid: Rc<str>,
+        /// The name of its class.
+        class: Rc<str>,
+        /// Its body.
+        body: Rc<[u8]>,
+    },
+    /// Stop the run of a request.
+    Break {
+        /// The request.
+        uid: Rc<str>,
+    },
+    /// The reply to the call that a run waits for.
+    Resolve {
+        /// The request.
+        uid: Rc<str>,
+        /// The reply, as it came.
+        content: Vec<u8>,
+    },
+    /// Go on without a call.
+    Stub {
+        /// The request.
+        uid: Rc<str>,
+        /// The notice that asked for the call.
+        pos: u64,
+    },
+    /// Ask for the gauges.
+    Gauges {
+        /// Comes back with them.
+        tag: u64,
+    },
+}
+
+impl Command {
+    /// The request that a command is about.
+    fn uid(&self) -> Option<&Rc<str>> {
+        match self {
+            Command::Apply { uid, .. }
+            | Command::Break { uid }
+            | Command::Resolve { uid, .. }
+            | Command::Stub { uid, .. } => Some(uid),
+            Command::Gauges { .. } => None,
+        }
+    }
+
+    /// Appends the line of a command; `vouches` is the number of commands before it.
+    fn write(&self, out: &mut Vec<u8>, vouches: u64) {
+        let line = match self {
+            Command::Apply { uid, class, body } => message(
+                "APPLY",
+                [("uid", text(uid)), ("lane", text(class)), ("content", text(&BASE64.encode(body)))],
+            ),
+            Command::Break { uid } => message("BREAK", [("uid", text(uid))]),
+            Command::Resolve { uid, content } => {
+                message("RESOLVE", [("uid", text(uid)), ("content", text(&BASE64.encode(content)))])
+            }
+            Command::Stub { uid, pos } => message("STUB", [("uid", text(uid)), ("pos", number(*pos))]),
+            Command::Gauges { tag } => message("TOP", [("echo", text(&format!("{tag}-{vouches}")))]),
+        };
+        out.extend(line.into_bytes());
+    }
+}
+
+fn text(value: &str) -> JsonValue {
+    JsonValue::String(value.to_string())
+}
+
+fn number(value: u64) -> JsonValue {
+    // Notices are far fewer than what a double counts exactly.
+    JsonValue::Number(value as f64)
+}
+
+fn message<const N: usize>(action: &str, fields: [(&str, JsonValue); N]) -> String {
+    let action = [("action", text(action))];
+    let fields = action.into_iter().chain(fields).map(|(key, value)| (key.to_string(), value));
+    let line = JsonValue::Object(fields.collect()).stringify();
+    // Only a number that is not finite cannot be written, and none is.
+    line.unwrap_or_default() + "\n"
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RunEnd {
+    /// Well, with this result.
+    Done(Vec<u8>),
+    /// It failed.
+    Failed,
+    /// It was stopped, or ended at a call as its request is over.
+    Stopped,
+    /// Nothing was started.
+    NotStarted,
+}
+
+/// What the interpreter tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// The interpreter is up.
+    Banner {
+        /// It started cold.
+        cold: bool,
+        /// How long ago it started, in seconds.
+        age: f64,
+    },
+    /// A run is over.
+    Value {
+        /// The number of the notice.
+        pos: u64,
+        /// The request.
+        uid: Rc<str>,
+        /// How it ended.
+        end: RunEnd,
+    },
+    /// A run waits for a call.
+    Await {
+        /// The number of the notice.
+        pos: u64,
+        /// The request.
+        uid: Rc<str>,
+        /// The body of the call.
+        content: Vec<u8>,
+    },
+    /// The gauges, in the order of the settings; those without a reading are missing.
+    Gauges {
+        /// The tag of the command.
+        tag: u64,
+        /// The number of commands before it.
+        vouches: u64,
+        /// The readings.
+        readings: Vec<Option<f64>>,
+    },
+    /// A command was not carried out.
+    Rejected {
+        /// The command.
+        command: String,
+        /// Its request.
+        uid: Rc<str>,
+    },
+    /// A remark.
+    Remark {
+        /// The number of the notice.
+        pos: u64,
+    },
+}
+
+/// Reads a line.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn read_line(line: &[u8]) -> Result<Message, String> {
+    if line.iter().filter(|b| matches!(b, b'[' | b'{')).count() > MAX_NESTED {
+        return Err("nests too deep".to_string());
+    }
+    let line = std::str::from_utf8(line).map_err(|_| "is not UTF-8".to_string())?;
+    let value: JsonValue = line.parse().map_err(|_| "is not JSON".to_string())?;
+    let object: &HashMap<String, JsonValue> = value.get().ok_or("is no object")?;
+    let word = |key: &str| match object.get(key) {
+        Some(JsonValue::String(text)) => Ok(text.as_str()),
+        _ => Err(format!("has no text {key}")),
+    };
+    let count = |key: &str| match object.get(key) {
+        Some(JsonValue::Number(n)) if *n >= 0.0 && n.is_finite() => Ok(*n),
+        _ => Err(format!("has no number {key}")),
+    };
+    let content = || BASE64.decode(word("content")?).map_err(|_| "has no base64 in content".to_string());
+    // The cast is exact: positions are whole and far below 2^53.
+    let pos = || count("pos").map(|n| n as u64);
+    let uid = || word("uid").map(Rc::from);
+    Ok(match word("action")? {
+        "BANNER" => Message::Banner { cold: word("code")? == "COLD", age: count("wall_ms")? / 1000.0 },
+        "VALUE" => {
+            let end = match word("code")? {
+                "OK" => RunEnd::Done(content()?),
+                "ERROR" => RunEnd::Failed,
+                "STOPPED" => RunEnd::Stopped,
+                "MOOT" => RunEnd::NotStarted,
+                other => return Err(format!("has an unknown end {other:?}")),
+            };
+            Message::Value { pos: pos()?, uid: uid()?, end }
+        }
+        "AWAIT" => Message::Await { pos: pos()?, uid: uid()?, content: content()? },
+        "TOPS" => {
+            let (tag, vouches) = word("echo")?.split_once('-').ok_or("has a strange echo")?;
+            let whole = |text: &str| text.parse().map_err(|_| "has a strange echo".to_string());
+            let Some(JsonValue::Array(meters)) = object.get("meters") else {
+                return Err("has no list meters".to_string());
+            };
+            let reading = |value: &JsonValue| value.get::<f64>().copied().filter(|n| n.is_finite());
+            let readings = meters.iter().map(reading).collect();
+            Message::Gauges { tag: whole(tag)?, vouches: whole(vouches)?, readings }
+        }
+        "ERROR" => Message::Rejected { command: word("code")?.to_string(), uid: uid().unwrap_or_default() },
+        "TRACE" => Message::Remark { pos: pos()? },
+        other => return Err(format!("has an unknown action {other:?}")),
+    })
+}
+
+/// What is known of the link whether it is up or down.
+#[derive(Debug, Default)]
+struct Memory {
+    /// The last notice that was read.
+    pos: u64,
+    /// Commands sent so far.
+    sent: u64,
+    /// Those that may not have arrived, with their numbers.
+    unsure: VecDeque<(u64, Command)>,
+}
+
+impl Memory {
+    fn send(&mut self, command: Command, out: &mut Vec<u8>) {
+        command.write(out, self.sent);
+        if command.uid().is_some() {
+            self.sent += 1;
+            self.unsure.push_back((self.sent, command));
+        }
+    }
+
+    /// Whether a message is news. A notice shows what became of commands: one that is read again after a break is
+    /// skipped, and those that a run has left behind must not be sent again.
+    fn heard(&mut self, message: &Message) -> bool {
+        match message {
+            Message::Value { pos, uid, .. } | Message::Await { pos, uid, .. } => {
+                if *pos <= self.pos {
+                    return false;
+                }
+                self.note(*pos);
+                let over = matches!(message, Message::Value { .. });
+                // A run that waits again or anew has taken all but an order to stop.
+                self.unsure
+                    .retain(|(_, c)| c.uid() != Some(uid) || !over && matches!(c, Command::Break { .. }));
+            }
+            Message::Remark { pos } if *pos <= self.pos => return false,
+            Message::Remark { pos } => self.note(*pos),
+            Message::Gauges { vouches, .. } => {
+                while self.unsure.front().is_some_and(|(number, _)| number <= vouches) {
+                    self.unsure.pop_front();
+                }
+            }
+            Message::Banner { .. } | Message::Rejected { .. } => {}
+        }
+        true
+    }
+
+    fn note(&mut self, pos: u64) {
+        if pos > self.pos + 1 {
+            log!("interpreter: {} notices are lost", pos - self.pos - 1);
+        }
+        self.pos = pos;
+    }
+}
+
+/// Keeps the link to the interpreter. What it tells goes to the engine, what the engine wants comes from `commands`.
+/// Ends when the engine does.
+pub async fn keep_link(
+    address: SocketAddr,
+    engine: mpsc::Sender<Input>,
+    mut commands: mpsc::Receiver<Command>,
+) {
+    let mut memory = Memory::default();
+    let mut known_down = false;
+    loop {
+        let ended = match TcpStream::connect(address).await {
+            Ok(stream) => {
+                known_down = false;
+                Link::new(stream, &engine).converse(&mut memory, &mut commands).await
+            }
+            Err(e) => Err(e),
+        };
+        if engine.is_closed() || engine.send(Input::LinkDown).await.is_err() {
+            return;
+        }
+        if let Err(e) = ended
+            && !known_down
+        {
+            log!("interpreter: no link to {address}: {e}");
+            known_down = true;
+        }
+        sleep(RECONNECT).await;
+    }
+}
+
+struct Link<'a> {
+    stream: TcpStream,
+    engine: &'a mpsc::Sender<Input>,
+    input: Vec<u8>,
+    output: Vec<u8>,
+}
+
+impl<'a> Link<'a> {
+    fn new(stream: TcpStream, engine: &'a mpsc::Sender<Input>) -> Link<'a> {
+        let _ = stream.set_nodelay(true);
+        Link { stream, engine, input: Vec::new(), output: Vec::new() }
+    }
+
+    async fn converse(
+        &mut self,
+        memory: &mut Memory,
+        commands: &mut mpsc::Receiver<Command>,
+    ) -> io::Result<()> {
+        self.output.extend(message("CONNECT", [("pos", number(memory.pos))]).into_bytes());
+        // Its answer comes behind all notices that were missed. It vouches for nothing that another link carried.
+        Command::Gauges { tag: 0 }.write(&mut self.output, 0);
+        let mut caught_up = false;
+        loop {
+            let (mut reader, mut writer) = self.stream.split();
+            tokio::select! {
+                biased;
+                read = reader.read_buf(&mut self.input) => {
+                    if read? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                    let caught_up_now = self.take_in(memory).await?;
+                    if caught_up_now && !caught_up {
+                        caught_up = true;
+                        for (_, command) in std::mem::take(&mut memory.unsure) {
+                            memory.send(command, &mut self.output);
+                        }
+                        if self.engine.send(Input::LinkUp).await.is_err() {
+                            return Ok(());
+                        }
+                    }
+                }
+                written = writer.write(&self.output), if !self.output.is_empty() => {
+                    self.output.drain(..written?);
+                }
+                command = commands.recv(), if caught_up && self.output.len() < MAX_LINE => {
+                    let Some(command) = command else { return Ok(()) };
+                    memory.send(command, &mut self.output);
+                    while self.output.len() < MAX_LINE && let Ok(command) = commands.try_recv() {
+                        memory.send(command, &mut self.output);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in all whole lines; whether all that was missed is among them.
+    async fn take_in(&mut self, memory: &mut Memory) -> io::Result<bool> {
+        let mut caught_up = false;
+        let input = std::mem::take(&mut self.input);
+        let mut rest = &input[..];
+        while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+            let line = &rest[..end];
+            rest = &rest[end + 1..];
+            match read_line(line) {
+                Ok(message) => {
+                    caught_up |= matches!(message, Message::Gauges { tag: 0, .. });
+                    if memory.heard(&message) && self.engine.send(Input::Heard(message)).await.is_err() {
+                        return Ok(caught_up);
+                    }
+                }
+                Err(problem) => log!("interpreter: a line {problem}"),
+            }
+        }
+        if rest.len() > MAX_LINE {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "a line is too long"));
+        }
+        self.input = rest.to_vec();
+        Ok(caught_up)
+    }
+}
--- /dev/null
+++ b/node/src/keys.rs
@@ -0,0 +1,257 @@
+//! Operation keys: which tries of a keyed request are known, which of them ran, and what the run made.
+//!
+//! A record of a run stays for the whole window of its key, whatever became of the run, so that no second try is run
+//! within it. Results are kept beside it as long as there is room; the oldest go first.
+
+use crate::request::Key;
+use jaspershunt::RequestId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// What a record takes beside its key and result: the record, its places in both indexes, and their slack.
+const RECORD_BYTES: usize = 400;
+
+/// What became of the run of a key.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Run {
+    /// It is not over.
+    Running,
+    /// It ended well, with this result.
+    Done(Rc<[u8]>),
+    /// It failed, was stopped, or its result is not kept any more.
+    Failed,
+}
+
+#[derive(Debug)]
+struct Ran {
+    id: RequestId,
+    until: u64,
+    run: Run,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    /// The newest try that may run, while none ran.
+    holder: Option<RequestId>,
+    ran: Option<Ran>,
+}
+
+/// There is no room to remember another key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Full;
+
+/// The table of keys.
+#[derive(Debug)]
+pub struct Keys {
+    records: BTreeMap<Key, Record>,
+    /// Keys that ran, by the end of their window.
+    ends: BTreeSet<(u64, Key)>,
+    /// Those of them whose result is kept.
+    results: BTreeSet<(u64, Key)>,
+    bytes: usize,
+    most: usize,
+}
+
+fn micros(t: f64) -> u64 {
+    (t.max(0.0) * 1e6) as u64
+}
+
+fn weight(key: &Key) -> usize {
+    // Each of the three tables holds the key by reference.
+    RECORD_BYTES + key.len()
+}
+
+impl Keys {
+    /// An empty table that may take so many bytes.
+    pub fn new(most: usize) -> Keys {
+        Keys { records: BTreeMap::new(), ends: BTreeSet::new(), results: BTreeSet::new(), bytes: 0, most }
+    }
+
+    /// Bytes that the table takes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// A try was read. Returns the earlier try that it repeats: one that ran within the window, or one that is still
+    /// held, as `held` tells. If there is none, this try is what later ones repeat.
+    ///
+    /// # Errors
+    /// There is no room for a new key; without its record the try must not run.
+    pub fn arrived(
+        &mut self,
+        key: &Key,
+        id: RequestId,
+        now: f64,
+        held: impl Fn(RequestId) -> bool,
+    ) -> Result<Option<RequestId>, Full> {
+        self.expire(now);
+        if !self.records.contains_key(key) {
+            let most = self.most;
+            self.make_room(weight(key));
+            if self.bytes + weight(key) > most {
+                return Err(Full);
+            }
+            self.bytes += weight(key);
+            self.records.insert(key.clone(), Record::default());
+        }
+        let Some(record) = self.records.get_mut(key) else { return Err(Full) };
+        if let Some(ran) = &record.ran {
+            return Ok(Some(ran.id));
+        }
+        let earlier = record.holder.filter(|holder| held(*holder));
+        if earlier.is_none() {
+            record.holder = Some(id);
+        }
+        Ok(earlier)
+    }
+
+    /// This try takes the place of an earlier one.
+    pub fn hold(&mut self, key: &Key, id: RequestId) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.holder = Some(id);
+        }
+    }
+
+    /// This try is over, or not to be known any more. What ran stays known all the same.
+    pub fn forget(&mut self, key: &Key, id: RequestId) {
+        let Some(record) = self.records.get_mut(key) else { return };
+        if record.holder == Some(id) {
+            record.holder = None;
+        }
+        self.drop_if_empty(key);
+    }
+
+    /// What became of the run of a key within its window; `None` if there was none.
+    pub fn run(&self, key: &Key) -> Option<&Run> {
+        self.records.get(key)?.ran.as_ref().map(|ran| &ran.run)
+    }
+
+    /// This try is run now; its key is remembered until then.
+    pub fn started(&mut self, key: &Key, id: RequestId, until: f64) {
+        let Some(record) = self.records.get_mut(key) else { return };
+        let until = micros(until);
+        record.ran = Some(Ran { id, until, run: Run::Running });
+        self.ends.insert((until, key.clone()));
+    }
+
+    /// The run of this try is over. A result for which there is no room is not kept: a repeat then fails.
+    pub fn ended(&mut self, key: &Key, id: RequestId, result: Option<Rc<[u8]>>) {
+        let room = result.as_ref().is_some_and(|result| {
+            self.make_room(result.len());
+            self.bytes + result.len() <= self.most
+        });
+        let Some(ran) = self.records.get_mut(key).and_then(|r| r.ran.as_mut()).filter(|r| r.id == id) else {
+            return;
+        };
+        if ran.run != Run::Running {
+            return;
+        }
+        ran.run = match result {
+            Some(result) if room => {
+                self.bytes += result.len();
+                self.results.insert((ran.until, key.clone()));
+                Run::Done(result)
+            }
+            _ => Run::Failed,
+        };
+    }
+
+    /// Drops kept results, the oldest first, until there is room or none are left.
+    fn make_room(&mut self, bytes: usize) {
+        while self.bytes + bytes > self.most {
+            let Some((_, key)) = self.results.pop_first() else { return };
+            if let Some(ran) = self.records.get_mut(&key).and_then(|r| r.ran.as_mut()) {
+                if let Run::Done(result) = &ran.run {
+                    self.bytes -= result.len();
+                }
+                ran.run = Run::Failed;
+            }
+        }
+    }
+
+    /// Forgets the runs whose window has passed.
+    pub fn expire(&mut self, now: f64) {
+        while let Some((_, key)) = self.ends.first().filter(|(until, _)| *until < micros(now)).cloned() {
+            self.ends.pop_first();
+            if let Some(record) = self.records.get_mut(&key)
+                && let Some(ran) = record.ran.take()
+                && let Run::Done(result) = ran.run
+            {
+                self.bytes -= result.len();
+                self.results.remove(&(ran.until, key.clone()));
+            }
+            self.drop_if_empty(&key);
+        }
+    }
+
+    fn drop_if_empty(&mut self, key: &Key) {
+        if self.records.get(key).is_some_and(|r| r.holder.is_none() && r.ran.is_none()) {
+            self.records.remove(key);
+            self.bytes -= weight(key);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn key(text: &str) -> Key {
+        Key::from(text)
+    }
+
+    fn result(bytes: usize) -> Option<Rc<[u8]>> {
+        Some(vec![7; bytes].into())
+    }
+
+    #[test]
+    fn a_run_is_known_for_its_window_whatever_became_of_it() {
+        for made in [result(3), None] {
+            let (mut keys, k) = (Keys::new(100_000), key("k"));
+            assert_eq!(keys.arrived(&k, RequestId(1), 1.0, |_| false), Ok(None));
+            keys.started(&k, RequestId(1), 11.0);
+            keys.ended(&k, RequestId(1), made.clone());
+            keys.forget(&k, RequestId(1));
+            assert_eq!(keys.arrived(&k, RequestId(2), 10.9, |_| false), Ok(Some(RequestId(1))));
+            assert_eq!(keys.run(&k), Some(&made.map_or(Run::Failed, Run::Done)));
+            assert_eq!(keys.arrived(&k, RequestId(3), 11.1, |_| false), Ok(None));
+            assert_eq!(keys.run(&k), None);
+        }
+    }
+
+    #[test]
+    fn tries_that_did_not_run_are_known_while_they_are_held() {
+        let (mut keys, k) = (Keys::new(100_000), key("k"));
+        assert_eq!(keys.arrived(&k, RequestId(1), 1.0, |_| true), Ok(None));
+        assert_eq!(keys.arrived(&k, RequestId(2), 1.0, |_| true), Ok(Some(RequestId(1))));
+        keys.hold(&k, RequestId(2));
+        keys.forget(&k, RequestId(1));
+        assert_eq!(keys.arrived(&k, RequestId(3), 1.0, |id| id == RequestId(2)), Ok(Some(RequestId(2))));
+        keys.forget(&k, RequestId(2));
+        assert_eq!(keys.bytes(), 0);
+    }
+
+    #[test]
+    fn memory_is_bounded_and_given_back() {
+        let mut keys = Keys::new(10_000);
+        let mut refused = 0;
+        for n in 0..50 {
+            let k = key(&format!("{n:02}"));
+            match keys.arrived(&k, RequestId(n), 1.0, |_| false) {
+                Err(Full) => refused += 1,
+                Ok(_) => {
+                    keys.started(&k, RequestId(n), 10.0 + n as f64);
+                    keys.ended(&k, RequestId(n), result(1000));
+                    keys.forget(&k, RequestId(n));
+                }
+            }
+            assert!(keys.bytes() <= 10_000);
+        }
+        assert!(refused > 0);
+        // The oldest results went first, and their runs stay known.
+        assert_eq!(keys.run(&key("00")), Some(&Run::Failed));
+        keys.expire(1000.0);
+        assert_eq!(keys.bytes(), 0);
+        assert!(keys.records.is_empty() && keys.ends.is_empty() && keys.results.is_empty());
+    }
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,19 @@
+//! The real nodo round the jaspershunt module: one program that serves balancers on sockets.
+//!
+//! [`engine`] is the one task that owns the module; everything reaches it through one queue, in the types of
+//! [`request`], which know no protocol. Round it: [`fastcgi`] speaks with balancers, [`interpreter`] with what does
+//! the work, [`database`] and [`directory`] (over [`http`]) with what all nodos share. [`keys`] remembers what may
+//! not run twice, [`config`] is where configuration is read, and [`server`] puts the parts together.
+
+pub mod clock;
+pub mod config;
+pub mod database;
+pub mod directory;
+pub mod engine;
+pub mod fastcgi;
+pub mod http;
+pub mod interpreter;
+pub mod keys;
+pub mod log;
+pub mod request;
+pub mod server;
--- /dev/null
+++ b/node/src/request.rs
@@ -0,0 +1,196 @@
+//! Requests and replies as the engine knows them, whatever protocol carries them, and how a request is read from the
+//! fields that every protocol carries by the same names.
+
+use jaspershunt::{CallerId, Repeat, Settings};
+use jaspershunt_settings::Names;
+use std::fmt;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// The longest body of a request, in bytes.
+pub const MAX_BODY: usize = 2 * 1024;
+/// The longest operation key, in bytes.
+const MAX_KEY: usize = 128;
+/// Requests need less than this many kilobytes.
+const MAX_KB: f64 = 2_000.0;
+const WORK_PATH: &str = "/v1/";
+const CHECK_PATH: &str = "/healthz";
+
+/// What names all tries of one keyed request.
+pub type Key = Rc<str>;
+
+/// What a peer asks for.
+#[derive(Debug, PartialEq)]
+pub enum Asked {
+    /// A health check.
+    Check,
+    /// A try of a request.
+    Work(Work),
+}
+
+/// A try of a request, as it was read.
+#[derive(Debug, PartialEq)]
+pub struct Work {
+    /// The id that the peer gave this try; the interpreter and the database know it by that.
+    pub uid: Rc<str>,
+    /// Its class, by place in the settings.
+    pub class: usize,
+    /// Its tenant, by place in the settings, if it is one of them.
+    pub tenant: Option<usize>,
+    /// Who sent it.
+    pub caller: CallerId,
+    /// When it came to the machine, in Unix seconds; `None` where that is not told.
+    pub arrived: Option<f64>,
+    /// Whether it is marked as a further try or a second copy.
+    pub resent: bool,
+    /// The work to expect, in seconds on one core.
+    pub cost_hint: Option<f64>,
+    /// The memory that it takes while held, in kilobytes.
+    pub held_kb: f64,
+    /// Its rank by worth, from 0 to under 1.
+    pub rank: f64,
+    /// What all its tries share; in keyed classes only.
+    pub key: Option<Key>,
+    /// The body, as it came.
+    pub body: Vec<u8>,
+}
+
+/// Why a request cannot be taken. Nothing of it ran; the peer gets status 400.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadRequest(pub String);
+
+impl fmt::Display for BadRequest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn bad<T>(field: &str, problem: &str) -> Result<T, BadRequest> {
+    Err(BadRequest(format!("{field} {problem}")))
+}
+
+/// Reads a request from its path, method, fields and body.
+///
+/// # Errors
+/// The first field that is missing or wrong.
+pub fn read<'a>(
+    path: &str,
+    method: &str,
+    field: impl Fn(&str) -> Option<&'a str>,
+    body: Vec<u8>,
+    settings: &Settings,
+    names: &Names,
+) -> Result<Asked, BadRequest> {
+    if path == CHECK_PATH {
+        return Ok(Asked::Check);
+    }
+    let Some(class) = path.strip_prefix(WORK_PATH) else { return bad("the path", "is not known") };
+    let Ok(class) = names.class(class) else { return bad("the class", "is not known") };
+    if method != "POST" {
+        return bad("the method", "must be POST");
+    }
+    if body.len() > MAX_BODY {
+        return bad("the body", "is over 2 KiB");
+    }
+    let need = |name: &str| field(name).ok_or_else(|| BadRequest(format!("{name} is missing")));
+    let number = |name: &str| {
+        let read = |text: &str| text.trim().parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        let Some(text) = field(name) else { return Ok(None) };
+        read(text).map(Some).ok_or_else(|| BadRequest(format!("{name} must be a number of 0 or more")))
+    };
+    let uid = need("X-Correlation-Id")?;
+    if uid.len() != 16 || !uid.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return bad("X-Correlation-Id", "must hold 16 hex digits");
+    }
+    let Ok(caller) = need("X-Upstream-Peer")?.trim().parse() else {
+        return bad("X-Upstream-Peer", "must be a whole number");
+    };
+    let Some(held_kb) = number("X-Need-Kb")?.filter(|kb| *kb > 0.0 && *kb < MAX_KB) else {
+        return bad("X-Need-Kb", "must be given, above 0 and under 2000");
+    };
+    let rank = number("X-Criticality")?.unwrap_or(0.0);
+    if rank >= 1.0 {
+        return bad("X-Criticality", "must be under 1");
+    }
+    let resent = match field("X-Resent") {
+        None | Some("0") => false,
+        Some("1") => true,
+        Some(_) => return bad("X-Resent", "must be 1 or absent"),
+    };
+    let key = match settings.classes[class].repeat {
+        Repeat::Keyed(_) => {
+            let key = need("X-Operation-Key")?;
+            if key.is_empty() || key.len() > MAX_KEY {
+                return bad("X-Operation-Key", "must hold 1 to 128 bytes");
+            }
+            Some(Key::from(key))
+        }
+        _ => None,
+    };
+    Ok(Asked::Work(Work {
+        uid: uid.into(),
+        class,
+        tenant: field("X-Org").and_then(|name| names.tenant(name)),
+        caller: CallerId(caller),
+        arrived: number("X-Arrived-Ms")?.map(|ms| ms / 1000.0),
+        resent,
+        cost_hint: number("X-Estimate-Ms")?.filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
+        held_kb,
+        rank,
+        key,
+        body,
+    }))
+}
+
+/// A final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The result that a run made.
+    Served(Rc<[u8]>),
+    /// Turned away: this try never ran.
+    Refused {
+        /// For how many seconds the caller should keep away; 0 gives no advice.
+        stay_away: f64,
+        /// Ask that no other nodo is tried.
+        last: bool,
+    },
+    /// Failed; promises nothing.
+    Failed,
+    /// The request cannot be understood.
+    Bad,
+    /// The answer to a health check.
+    Health {
+        /// In good health.
+        good: bool,
+    },
+}
+
+/// An answer with the number that callers are told on every answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The answer.
+    pub answer: Answer,
+    /// The free number, once there is one.
+    pub say: Option<f64>,
+}
+
+/// Where the one reply to a request goes. The receiver has room for as many replies as it lets requests be open, so
+/// that sending never waits; a receiver that has gone needs none.
+#[derive(Clone, Debug)]
+pub struct ReplyTo {
+    to: mpsc::Sender<(u16, Reply)>,
+    ticket: u16,
+}
+
+impl ReplyTo {
+    /// The peer's connection, and what it knows the request by.
+    pub fn new(to: mpsc::Sender<(u16, Reply)>, ticket: u16) -> ReplyTo {
+        ReplyTo { to, ticket }
+    }
+
+    /// Hands over the reply.
+    pub fn send(self, reply: Reply) {
+        // An error means that the connection has ended: nobody waits.
+        let _ = self.to.try_send((self.ticket, reply));
+    }
+}
--- /dev/null
+++ b/node/src/server.rs
@@ -0,0 +1,104 @@
+//! Puts the parts together, and takes them apart again when the nodo leaves.
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::engine::{self, Engine, Idle, Input, Ways};
+use crate::fastcgi::connection::{Front, accept};
+use crate::fastcgi::requests::Budget;
+use crate::{database, directory, interpreter, log};
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Beyond the grace the listener stays open so long, since a request that came just within it may be on its way.
+const BEYOND_GRACE: Duration = Duration::from_millis(100);
+/// The program ends so long before the kill whatever is left.
+const EXIT_AHEAD: Duration = Duration::from_millis(40);
+/// A nodo that owes nothing waits so long for what may still be on its way before it closes its connections.
+const QUIET: Duration = Duration::from_millis(100);
+
+/// Runs a nodo on a listener until it is told to leave and has left. Needs to run in a local set.
+///
+/// # Errors
+/// None yet; the signature leaves room for a start that fails.
+pub async fn run(
+    config: Config,
+    clock: Clock,
+    listener: TcpListener,
+    leave: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let (engine_in, engine_out) = mpsc::channel(engine::QUEUE);
+    let (commands_in, commands_out) = mpsc::channel(interpreter::QUEUE);
+    let (calls_in, calls_out) = mpsc::channel(engine::CALLS);
+    let (mode_in, mode_out) = watch::channel(None);
+    let (idle_in, idle_out) = watch::channel(Idle::default());
+    let (owed_in, mut owed) = watch::channel(0);
+    let ways = Ways {
+        engine: engine_in.downgrade(),
+        interpreter: commands_in,
+        database: calls_in,
+        directory: mode_in,
+        idle: idle_in.clone(),
+        owed: owed_in,
+    };
+    spawn_local(Engine::new(&config, clock, ways).run(engine_out));
+    spawn_local(interpreter::keep_link(config.interpreter, engine_in.clone(), commands_out));
+    spawn_local(database::make_calls(config.database, config.bounds.calls, engine_in.clone(), calls_out));
+    let name = config.name.clone();
+    spawn_local(async move { directory::report(config.directory, &name, mode_out).await });
+    let front = Rc::new(Front {
+        engine: engine_in.clone(),
+        settings: config.settings.clone(),
+        names: config.names.clone(),
+        partial: Budget::new(config.bounds.partial),
+        unwritten: Budget::new(config.bounds.unwritten),
+        most: config.bounds.connections,
+        idle: idle_out,
+        open: Cell::new(0),
+        ended: Notify::new(),
+        last_id: Cell::new(0),
+    });
+    let (close, closed) = oneshot::channel::<()>();
+    let accepting = spawn_local(accept(listener, front.clone(), async {
+        let _ = closed.await;
+    }));
+    log!("{} listens on {}", config.name, config.listen);
+
+    leave.await;
+    let told = Instant::now();
+    let end = told + config.stop.saturating_sub(EXIT_AHEAD);
+    let _ = engine_in.send(Input::Leave).await;
+    let grace = Duration::from_secs_f64(config.settings.drain_grace.min(1e6));
+    sleep_until((told + grace + BEYOND_GRACE).min(end)).await;
+    // New connections are refused from here on, which proves to balancers that nothing ran.
+    drop(close);
+    let _ = timeout_at(end, accepting).await;
+    let _ = timeout_at(end, quiet(&mut owed)).await;
+    idle_in.send_replace(Idle { limit: Duration::ZERO, standing: true });
+    let all_ended = async {
+        while front.open.get() > 0 {
+            front.ended.notified().await;
+        }
+    };
+    let left_over = timeout_at(end, all_ended).await.is_err();
+    log!("{} leaves{}", config.name, if left_over { " with connections open" } else { "" });
+    Ok(())
+}
+
+/// Waits until nothing has been owed for a while.
+async fn quiet(owed: &mut watch::Receiver<usize>) {
+    loop {
+        if owed.wait_for(|owed| *owed == 0).await.is_err() {
+            return;
+        }
+        let until = Instant::now() + QUIET;
+        if timeout_at(until, owed.wait_for(|owed| *owed > 0)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/adapter/src/facts.rs
+++ b/settings/src/lib.rs
@@ -1,18 +1,27 @@
-//! The settings of a server, as its first message gives them.
+//! Reads the settings object of a server: the one in the simulator's first message and in a nodo's configuration.
+//!
+//! Keys that are not known are skipped; what is wrong is named with the way to it.
 
-use jaspershunt::{Below, Class, Halt, Repeat, Say, Settings, Tenant, WorthBy};
-use serde_json::Value;
+use jaspershunt::{Below, Class, Gauges, Halt, Repeat, Say, Settings, Tenant, WorthBy};
+use std::collections::HashMap;
+use tinyjson::JsonValue;
 
 /// The names that later messages use.
+#[derive(Clone, Debug)]
 pub struct Names {
     classes: Vec<String>,
     tenants: Vec<String>,
+    /// The gauges, in the order in which readings are given.
+    pub gauges: Vec<String>,
     /// Whether requests tell how long their caller waits.
     pub passes_deadline: bool,
 }
 
 impl Names {
     /// The place of a class in the settings.
+    ///
+    /// # Errors
+    /// No class has this name.
     pub fn class(&self, name: &str) -> Result<usize, String> {
         self.classes.iter().position(|n| n == name).ok_or_else(|| format!("unknown class {name:?}"))
     }
@@ -23,15 +32,27 @@
     }
 }
 
+/// Where the reading of a gauge belongs; `None` for gauges that the module has no use for.
+pub fn gauge_mut<'a>(gauges: &'a mut Gauges, name: &str) -> Option<&'a mut Option<f64>> {
+    Some(match name {
+        "core_use" => &mut gauges.core_use,
+        "on_cores" => &mut gauges.on_cores,
+        "heap_share" => &mut gauges.memory_share,
+        "links" => &mut gauges.connections,
+        _ => return None,
+    })
+}
+
 /// A part of the settings, with the way to it for messages.
 struct Part<'a> {
-    value: &'a Value,
+    value: &'a JsonValue,
     path: String,
 }
 
 impl<'a> Part<'a> {
     fn at(&self, key: &str) -> Option<Part<'a>> {
-        let value = self.value.get(key).filter(|v| !v.is_null())?;
+        let object: &HashMap<String, JsonValue> = self.value.get()?;
+        let value = object.get(key).filter(|v| !v.is_null())?;
         Some(Part { value, path: format!("{}.{key}", self.path) })
     }
 
@@ -44,7 +65,7 @@
     }
 
     fn as_number(&self) -> Result<f64, String> {
-        self.value.as_f64().map_or_else(|| self.wrong("a number"), Ok)
+        self.value.get::<f64>().copied().map_or_else(|| self.wrong("a number"), Ok)
     }
 
     fn number(&self, key: &str) -> Result<f64, String> {
@@ -59,15 +80,18 @@
         let Some(part) = self.at(key) else {
             return Ok(missing);
         };
-        let whole = part.value.as_u64().and_then(|n| u32::try_from(n).ok());
-        whole.map_or_else(|| part.wrong("a whole number"), Ok)
+        let number = part.as_number()?;
+        // The cast is exact for what is whole and in range.
+        let whole = number.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&number);
+        if whole { Ok(number as u32) } else { part.wrong("a whole number") }
     }
 
     fn as_flag(&self) -> Result<bool, String> {
-        match self.value.as_u64() {
-            Some(0) => Ok(false),
-            Some(1) => Ok(true),
-            _ => self.value.as_bool().map_or_else(|| self.wrong("true or false"), Ok),
+        match self.value {
+            JsonValue::Boolean(flag) => Ok(*flag),
+            JsonValue::Number(0.0) => Ok(false),
+            JsonValue::Number(1.0) => Ok(true),
+            _ => self.wrong("true or false"),
         }
     }
 
@@ -76,7 +100,7 @@
     }
 
     fn as_text(&self) -> Result<&'a str, String> {
-        self.value.as_str().map_or_else(|| self.wrong("a text"), Ok)
+        self.value.get::<String>().map_or_else(|| self.wrong("a text"), |text| Ok(text.as_str()))
     }
 
     fn text(&self, key: &str) -> Result<&'a str, String> {
@@ -92,7 +116,7 @@
         let Some(part) = self.at(key) else {
             return Ok(Vec::new());
         };
-        let Some(values) = part.value.as_array() else {
+        let Some(values) = part.value.get::<Vec<JsonValue>>() else {
             return part.wrong("a list");
         };
         let numbered = values.iter().enumerate();
@@ -100,24 +124,40 @@
     }
 }
 
-/// Reads the settings.
-pub fn read(text: &str) -> Result<(Settings, Names), String> {
-    let value: Value = serde_json::from_str(text).map_err(|e| format!("facts are not JSON: {e}"))?;
+/// Reads the settings from their text; `name` is what messages call the object.
+///
+/// # Errors
+/// What is missing or wrong, with the way to it.
+pub fn read(text: &str, name: &str) -> Result<(Settings, Names), String> {
+    let value: JsonValue = text.parse().map_err(|e| format!("{name} are not JSON: {e}"))?;
+    from_value(&value, name)
+}
+
+/// Reads the settings from an object; `name` is what messages call it.
+///
+/// # Errors
+/// What is missing or wrong, with the way to it.
+pub fn from_value(value: &JsonValue, name: &str) -> Result<(Settings, Names), String> {
     if !value.is_object() {
-        return Err("facts must be an object".to_string());
+        return Err(format!("{name} must be an object"));
     }
-    let facts = Part { value: &value, path: "facts".to_string() };
+    let facts = Part { value, path: name.to_string() };
     let domain = facts.need("domain")?;
     let rules = facts.need("obligations")?;
-    let empty = Value::Null;
+    let empty = JsonValue::Null;
     let none = |path: &str| Part { value: &empty, path: path.to_string() };
-    let allowed = facts.at("allowed").unwrap_or_else(|| none("facts.allowed"));
-    let habits = facts.at("clientHabits").unwrap_or_else(|| none("facts.clientHabits"));
+    let allowed = facts.at("allowed").unwrap_or_else(|| none(&format!("{name}.allowed")));
+    let habits = facts.at("clientHabits").unwrap_or_else(|| none(&format!("{name}.clientHabits")));
     let classes = read_classes(&facts, &domain)?;
     let tenants = read_tenants(&facts)?;
     let names = Names {
         classes: classes.iter().map(|c| c.name.clone()).collect(),
         tenants: tenants.iter().map(|t| t.name.clone()).collect(),
+        gauges: domain
+            .list("meters")?
+            .iter()
+            .map(|m| Ok(m.as_text()?.to_string()))
+            .collect::<Result<_, String>>()?,
         passes_deadline: domain.flag("passesDeadline")?,
     };
     let settings = Settings {
