Answer at once what the module has given up on, and say when to come back

Seen: logic.rs turned away what can no longer end in time only when next_start came upon it. While better lanes kept the cores it sat in the hold until it fell due (expire), and turn_away said stay_away 0 for all refusals.

Now give_up_hopeless goes over the hold in every step, and come_back says how long what waits beyond N_max takes, at least the delay budget and at most what is honoured. A try that a newer one of its request replaces still gets no advice: the request is here.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -201,6 +201,7 @@
         self.expire(out);
         self.rank();
         self.measure(out);
+        self.give_up_hopeless(out);
         self.make_calls(out);
         self.fill_cores(out);
         self.refuse_over_credit(out);
@@ -328,6 +329,7 @@
         if waits && keyed {
             self.keep(id, out);
             self.ledger.keys.forget(first);
+            // No advice to keep away: the newer try of the same request is here.
             self.refuse(first, 0.0, true, out);
             self.newcomers.push(id);
         } else {
@@ -435,7 +437,7 @@
             if (l.ran && !safe) || l.stage == Stage::Follows {
                 self.fail(id, out);
             } else {
-                self.refuse(id, 0.0, true, out);
+                self.refuse(id, self.come_back(), true, out);
             }
         }
     }
@@ -719,7 +721,30 @@
     fn turn_away(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.meter.refused += CLASS_SMOOTHING * (1.0 - self.meter.refused);
         let last = self.storm() || self.ledger.live.get(&id).is_some_and(|l| l.request.retry);
-        self.refuse(id, 0.0, last, out);
+        self.refuse(id, self.come_back(), last, out);
+    }
+
+    /// Ours: how long a caller that is turned away should keep away: until what waits beyond N_max is worked
+    /// off, and at least the delay budget, in which all that may wait here is. Guards against tries that come
+    /// back into the same press. Could harm if it outlasted the press, so it is short where little waits.
+    fn come_back(&self) -> f64 {
+        let beyond = self.held() + self.unread() - self.ceiling();
+        let leaving = self.leaving.is_some();
+        let after = if leaving { f64::INFINITY } else { beyond / self.meter.rate.max(1e-9) };
+        after.max(DELAY_BUDGET).min(self.set.max_stay_away)
+    }
+
+    /// Ours: what waits and can no longer end in time has been given up, and is told so at once, wherever it
+    /// stands in the order. Guards against requests that better ones keep from the cores and that would wait
+    /// until they fall due, while their callers could still be served elsewhere.
+    fn give_up_hopeless(&mut self, out: &mut Vec<Action>) {
+        for lane in 0..self.lanes.len() {
+            let waiting = self.ledger.lanes[lane].iter().map(|(_, id)| *id);
+            let late: Vec<_> = waiting.filter(|id| !self.in_time(&self.ledger.live[id], self.now)).collect();
+            for id in late {
+                self.demote(id, out);
+            }
+        }
     }
 
     fn over_credit(&self, l: &Live) -> bool {
