Test the nodo on loopback, and leave in time on slow machines

Found while reading the code: the module answers all 60 ms before the stop that it is told, a wake may wait 15 ms for the gauges, and the program ends 40 ms before the kill, which left 5 ms to write. The module is now told 100 ms less (engine.rs, STOP_AHEAD). A nodo told to leave before its interpreter is up forgot it; it keeps it now. A body that ended before the parameters never made a request whole. A connection kept 16 KiB of stack for its reads. Without KEEP_CONN a connection closed under its other open requests.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -29,6 +29,9 @@
 /// A run whose end is not heard of this long after its answer is given up: its notice is lost. Ours, longer than any
 /// pause of a machine.
 const LOST_AFTER: Duration = Duration::from_secs(40);
+/// Seconds that the module is told less than there are until the kill, for answers to be written in. Ours: some of
+/// the waits for the gauges.
+const STOP_AHEAD: f64 = 0.1;
 /// Seconds that a key is remembered beyond its window: the rule allows the window's end 50 ms, and the same again.
 const WINDOW_SLACK: f64 = 0.1;
 /// The module's clock shows this at the start, so that the start of the interpreter is not before 0.
@@ -192,6 +195,8 @@
     wakes: Vec<u64>,
     tag: u64,
     owed: usize,
+    /// When all must be answered, once the nodo leaves.
+    stop_at: Option<f64>,
 }
 
 impl Engine {
@@ -219,6 +224,7 @@
             wakes: Vec::new(),
             tag: 0,
             owed: 0,
+            stop_at: None,
         }
     }
 
@@ -279,11 +285,22 @@
             Input::NoGauges { .. } => {}
             Input::Lost { id } => self.lost(id),
             Input::Leave => {
-                self.events.push(Event::Leave { within: self.stop.as_secs_f64() });
+                self.stop_at = Some(self.now + self.stop.as_secs_f64() - STOP_AHEAD);
+                self.good = false;
+                self.leave();
             }
         }
     }
 
+    /// Tells the module that the nodo leaves, if it does.
+    fn leave(&mut self) {
+        if let Some(stop_at) = self.stop_at
+            && self.module.is_some()
+        {
+            self.events.push(Event::Leave { within: (stop_at - self.now).max(0.0) });
+        }
+    }
+
     // Requests.
 
     fn arrive(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
@@ -443,6 +460,8 @@
         for action in actions {
             self.carry_out(action);
         }
+        // It may have been told to leave before its interpreter came up.
+        self.leave();
         log!("interpreter is up since {age:.3} s, {}", if cold { "cold" } else { "warm" });
     }
 
--- a/node/src/fastcgi/connection.rs
+++ b/node/src/fastcgi/connection.rs
@@ -24,7 +24,7 @@
 /// An answer that cannot be written for so long is given up, and its connection with it.
 const WRITE_STALL: Duration = Duration::from_secs(60);
 /// Read at once.
-const CHUNK: usize = 16 * 1024;
+const CHUNK: usize = 4 * 1024;
 
 /// What all connections share.
 pub struct Front {
@@ -74,7 +74,9 @@
             () = &mut stop => break,
         }
     }
-    // A request on a connection that the machine accepted counts as received: none may be left behind.
+    // A request on a connection that the machine accepted counts as received: none may be left behind. The runtime
+    // looks at its sockets before it takes this up again.
+    tokio::task::yield_now().await;
     while let Ok(Ok((stream, peer))) = timeout_at(Instant::now(), listener.accept()).await {
         start(stream, peer, &front);
     }
@@ -177,7 +179,8 @@
     async fn converse(&mut self) -> Result<End, End> {
         let mut idle = self.front.idle.clone();
         loop {
-            if self.output.is_empty() && (self.closing || self.read_closed && self.requests.is_empty()) {
+            let no_more = self.closing || self.read_closed;
+            if no_more && self.requests.is_empty() && self.output.is_empty() {
                 return Ok(End::Finished);
             }
             let may_read = !self.read_closed && !self.closing && self.output.len() < MAX_UNWRITTEN;
@@ -236,12 +239,11 @@
     /// Reads what is there and takes in all that is whole. The end of the peer's sending is no abort: what was read
     /// is answered.
     async fn read(&mut self) -> Result<(), End> {
-        let mut chunk = [0; CHUNK];
-        match self.stream.try_read(&mut chunk) {
+        self.input.reserve(CHUNK);
+        match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => self.read_closed = true,
-            Ok(n) => {
+            Ok(_) => {
                 self.last_traffic = Instant::now();
-                self.input.extend(&chunk[..n]);
                 self.take_in().await?;
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/node/src/fastcgi/requests.rs
+++ b/node/src/fastcgi/requests.rs
@@ -72,6 +72,7 @@
     params: Vec<u8>,
     params_ended: bool,
     body: Vec<u8>,
+    body_ended: bool,
     oversize: bool,
     whole: bool,
 }
@@ -130,22 +131,16 @@
                 put_end(out, record.id, ProtocolStatus::RequestComplete);
                 return Ok(Step::Ended { close: self.close(record.id) });
             }
-            kind::PARAMS if !open.params_ended && record.content.is_empty() => open.params_ended = true,
             kind::PARAMS if !open.params_ended => {
+                open.params_ended = record.content.is_empty();
                 let fits =
                     grow(&mut open.params, record.content, MAX_PARAMS, &mut open.oversize, &self.budget);
                 if !fits {
                     return Ok(self.overloaded(record.id, out));
                 }
             }
-            kind::STDIN if !open.whole && record.content.is_empty() && open.params_ended => {
-                open.whole = true;
-                self.budget.give(open.params.len() + open.body.len());
-                let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
-                let params = if open.oversize { None } else { Some(params) };
-                return Ok(Step::Whole(Whole { id: record.id, params, body }));
-            }
-            kind::STDIN if !open.whole => {
+            kind::STDIN if !open.body_ended => {
+                open.body_ended = record.content.is_empty();
                 let fits = grow(&mut open.body, record.content, MAX_BODY, &mut open.oversize, &self.budget);
                 if !fits {
                     return Ok(self.overloaded(record.id, out));
@@ -153,7 +148,14 @@
             }
             _ => {}
         }
-        Ok(Step::Nothing)
+        if open.whole || !open.params_ended || !open.body_ended {
+            return Ok(Step::Nothing);
+        }
+        open.whole = true;
+        let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
+        self.budget.give(params.len() + body.len());
+        let params = if open.oversize { None } else { Some(params) };
+        Ok(Step::Whole(Whole { id: record.id, params, body }))
     }
 
     fn begin(&mut self, record: &Record, out: &mut Vec<u8>) -> Result<Step, LostFraming> {
@@ -175,6 +177,7 @@
             params: Vec::new(),
             params_ended: false,
             body: Vec::new(),
+            body_ended: false,
             oversize: false,
             whole: false,
         };
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,241 @@
+//! A nodo on loopback, with the test in the place of everything that it talks to.
+#![allow(dead_code)]
+
+use jaspershunt_node::clock::Clock;
+use jaspershunt_node::config::{self, Config};
+use jaspershunt_node::fastcgi::records::{self, kind, put_pair, put_record};
+use jaspershunt_node::server;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+pub const SETTINGS: &str = concat!(
+    r#"{"classes":[{"name":"read","worth":1,"targetS":20,"deadlineS":40,"semantics":"free"},"#,
+    r#"{"name":"sign","worth":3,"targetS":20,"deadlineS":40,"semantics":"guarded","windowS":60}],"#,
+    r#""domain":{"nCores":2,"heapKb":10000,"runFactor":4,"keyKb":50,"halt":"drop","say":"tokens","#,
+    r#""meters":["core_use","on_cores"],"classCalls":[true,true],"#,
+    r#""dependsOn":"common","fairCalls":3.5,"callsOverS":5,"readiness":true},"#,
+    r#""allowed":{"retryAfter":true,"maxRetryAfterS":1},"#,
+    r#""obligations":{"coldFrom":0.3,"coldS":9,"fallMultiple":5,"fallS":2,"drainGraceS":0,"graceToAnswerS":0.1},"#,
+    r#""orgs":[{"name":"acme","share":1,"allowancePerS":9}],"servers":3}"#
+);
+
+pub fn config_text(listen: &str, vm: &str, lookup: &str, db: &str) -> String {
+    format!(
+        r#"{{"name":"n3","listen":"{listen}","vm":"{vm}","lookup":"{lookup}","db":"{db}","seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"settings":{SETTINGS}}}"#
+    )
+}
+
+pub fn config(listen: SocketAddr, vm: SocketAddr, lookup: SocketAddr, db: SocketAddr) -> Config {
+    let text = config_text(&listen.to_string(), &vm.to_string(), &lookup.to_string(), &db.to_string());
+    config::read(&text, |_| None).unwrap()
+}
+
+/// Runs a test on one thread, as the program runs.
+pub fn local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+pub async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// One end of a connection.
+pub struct Peer {
+    pub stream: TcpStream,
+    input: RefCell<Vec<u8>>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        Peer { stream, input: RefCell::default() }
+    }
+
+    pub async fn accept(listener: &TcpListener) -> Peer {
+        Peer::new(listener.accept().await.unwrap().0)
+    }
+
+    /// Closes a link, once all that was sent on it has been read, and takes the next one.
+    pub async fn accept_after_break(mut link: Peer, listener: &TcpListener) -> Peer {
+        link.stream.shutdown().await.unwrap();
+        while link.line().await.is_some() {}
+        Peer::accept(listener).await
+    }
+
+    pub async fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).await.unwrap();
+    }
+
+    /// Reads up to and with `end`, or `None` if the other end closes first.
+    pub async fn until(&mut self, end: &[u8]) -> Option<String> {
+        loop {
+            let input = self.input.get_mut();
+            if let Some(at) = input.windows(end.len()).position(|bytes| bytes == end) {
+                let taken: Vec<u8> = input.drain(..at + end.len()).collect();
+                return Some(String::from_utf8(taken).unwrap());
+            }
+            if !matches!(self.stream.read_buf(input).await, Ok(1..)) {
+                return None;
+            }
+        }
+    }
+
+    pub async fn line(&mut self) -> Option<String> {
+        self.until(b"\n").await
+    }
+
+    /// The next line that is no question for the gauges.
+    pub async fn command(&mut self) -> String {
+        loop {
+            let line = self.line().await.expect("a command");
+            if !line.contains(r#""TOP""#) {
+                return line;
+            }
+        }
+    }
+
+    /// An HTTP request, with its body.
+    pub async fn http(&mut self) -> String {
+        let head = self.until(b"\r\n\r\n").await.expect("a request");
+        let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: ")).unwrap();
+        let length: usize = length.parse().unwrap();
+        while self.input.get_mut().len() < length {
+            self.stream.read_buf(self.input.get_mut()).await.unwrap();
+        }
+        let body: Vec<u8> = self.input.get_mut().drain(..length).collect();
+        head + std::str::from_utf8(&body).unwrap()
+    }
+
+    /// The next FastCGI record, or `None` if the other end closes first.
+    pub async fn record(&mut self) -> Option<(u8, u16, Vec<u8>)> {
+        loop {
+            let input = self.input.get_mut();
+            let mut rest = &input[..];
+            if let Some(record) = records::next_record(&mut rest).unwrap() {
+                let record = (record.kind, record.id, record.content.to_vec());
+                *input = rest.to_vec();
+                return Some(record);
+            }
+            if !matches!(self.stream.read_buf(input).await, Ok(1..)) {
+                return None;
+            }
+        }
+    }
+
+    /// A whole answer, as text, behind the id of its request; ends with the protocol status.
+    pub async fn answer(&mut self) -> Option<(u16, String, u8)> {
+        let mut text = Vec::new();
+        loop {
+            match self.record().await? {
+                (kind::STDOUT, _, content) => text.extend(content),
+                (kind::END_REQUEST, id, content) => {
+                    return Some((id, String::from_utf8(text).unwrap(), content[4]));
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+}
+
+/// The records of a request; `more` are parameters that come first.
+pub fn request(id: u16, uid: u64, class: &str, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut params = Vec::new();
+    let (uid, path) = (format!("{uid:016x}"), format!("/v1/{class}"));
+    let common = [
+        ("REQUEST_METHOD", "POST"),
+        ("SCRIPT_NAME", path.as_str()),
+        ("HTTP_X_CORRELATION_ID", uid.as_str()),
+        ("HTTP_X_UPSTREAM_PEER", "4"),
+        ("HTTP_X_ORG", "acme"),
+        ("HTTP_X_NEED_KB", "24.5"),
+        ("HTTP_X_CRITICALITY", "0.6250"),
+    ];
+    for (name, value) in more.iter().chain(&common) {
+        put_pair(&mut params, name.as_bytes(), value.as_bytes());
+    }
+    let mut out = Vec::new();
+    put_record(&mut out, kind::BEGIN_REQUEST, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    put_record(&mut out, kind::PARAMS, id, &params);
+    put_record(&mut out, kind::PARAMS, id, b"");
+    for part in body.chunks(1000) {
+        put_record(&mut out, kind::STDIN, id, part);
+    }
+    put_record(&mut out, kind::STDIN, id, b"");
+    out
+}
+
+/// A nodo and the sockets of what it talks to.
+pub struct Nodo {
+    pub address: SocketAddr,
+    pub interpreter: TcpListener,
+    pub database: TcpListener,
+    pub directory: Peer,
+    pub link: Peer,
+    pub leave: oneshot::Sender<()>,
+    pub done: JoinHandle<std::io::Result<()>>,
+}
+
+impl Nodo {
+    /// Starts a nodo whose interpreter is up and which is in the directory.
+    pub async fn start() -> Nodo {
+        let (front, address) = listener().await;
+        let (interpreter, vm) = listener().await;
+        let (database, db) = listener().await;
+        let (directory, lookup) = listener().await;
+        let (leave, told) = oneshot::channel();
+        let config = config(address, vm, lookup, db);
+        let done = spawn_local(server::run(config, Clock::System, front, async {
+            let _ = told.await;
+        }));
+        let mut link = Peer::accept(&interpreter).await;
+        catch_up(&mut link, 0, "").await;
+        let mut directory = Peer::accept(&directory).await;
+        assert!(directory.http().await.ends_with(r#"{"mode":"open"}"#));
+        directory.send("HTTP/1.1 204 No Content\r\n\r\n").await;
+        Nodo { address, interpreter, database, directory, link, leave, done }
+    }
+
+    pub async fn connect(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.address).await.unwrap())
+    }
+
+    /// What the interpreter is told next, without questions for the gauges.
+    pub async fn command(&mut self) -> String {
+        self.link.command().await
+    }
+
+    /// The uid of the run that is started next.
+    pub async fn applied(&mut self) -> String {
+        let command = self.command().await;
+        assert!(command.contains(r#""action":"APPLY""#), "{command}");
+        field(&command, "uid")
+    }
+}
+
+/// A text in a line of JSON.
+pub fn field(line: &str, name: &str) -> String {
+    let (_, rest) = line.split_once(&format!(r#""{name}":""#)).unwrap_or_else(|| panic!("{name} in {line}"));
+    rest.split_once('"').unwrap().0.to_string()
+}
+
+/// Greets a new link: a banner, all notices that were missed, and the gauges that were asked for first.
+pub async fn catch_up(link: &mut Peer, pos: u64, missed: &str) {
+    let connect = link.line().await.unwrap();
+    assert!(connect.contains(r#""CONNECT""#) && connect.contains(&format!(r#""pos":{pos}"#)), "{connect}");
+    let top = link.line().await.unwrap();
+    let banner = r#"{"action":"BANNER","code":"WARM","wall_ms":5000}"#;
+    let tops = format!(r#"{{"action":"TOPS","echo":"{}","meters":[0.5,1]}}"#, field(&top, "echo"));
+    link.send(format!("{banner}\n{missed}{tops}\n")).await;
+}
+
+pub fn value(pos: u64, uid: &str, code: &str, content: &str) -> String {
+    format!(
+        r#"{{"action":"VALUE","pos":{pos},"uid":"{uid}","code":"{code}","wall_ms":3,"content":"{content}"}}"#
+    ) + "\n"
+}
--- /dev/null
+++ b/node/tests/nodo.rs
@@ -0,0 +1,172 @@
+//! The whole nodo on loopback sockets.
+
+mod common;
+use common::*;
+use tokio::net::TcpStream;
+
+#[test]
+fn a_request_is_run_its_call_is_made_and_its_result_comes_back_unchanged() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        balancer.send(request(1, 0xab, "read", &[], b"what?")).await;
+        let apply = nodo.command().await;
+        let told =
+            [("action", "APPLY"), ("uid", "00000000000000ab"), ("lane", "read"), ("content", "d2hhdD8=")];
+        for (name, expected) in told {
+            assert_eq!(field(&apply, name), expected);
+        }
+        let wait = r#"{"action":"AWAIT","pos":1,"uid":"00000000000000ab","content":"cXVlcnk="}"#;
+        nodo.link.send(format!("{wait}\n")).await;
+        let mut call = Peer::accept(&nodo.database).await;
+        let asked = call.http().await;
+        assert!(
+            asked.starts_with("POST /v1/exec HTTP/1.1\r\n") && asked.ends_with("\r\n\r\nquery"),
+            "{asked}"
+        );
+        assert!(asked.contains("\r\nRequest-Ref: 00000000000000ab\r\n"), "{asked}");
+        call.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrows").await;
+        let resolve = nodo.command().await;
+        assert_eq!([field(&resolve, "action"), field(&resolve, "content")], ["RESOLVE", "cm93cw=="]);
+        nodo.link.send(value(2, "00000000000000ab", "OK", "ZG9uZQ==")).await;
+        let (id, answer, status) = balancer.answer().await.unwrap();
+        assert!(answer.starts_with("Status: 200 OK\r\n") && answer.ends_with("\r\n\r\ndone"), "{answer}");
+        assert!(answer.contains("\r\nX-Backend-Says: "), "{answer}");
+        assert_eq!((id, status), (1, 0));
+        // The next call uses the same connection to the database.
+        balancer.send(request(1, 0xac, "read", &[], b"")).await;
+        nodo.applied().await;
+        nodo.link.send(wait.replace("ab", "ac").replace(":1,", ":3,") + "\n").await;
+        assert!(call.http().await.contains("Request-Ref: 00000000000000ac\r\n"));
+    });
+}
+
+#[test]
+fn a_bad_request_gets_400_and_the_connection_lives() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        let cases = [
+            request(1, 1, "sing", &[], b""),
+            request(1, 1, "read", &[("HTTP_X_NEED_KB", "lots")], b""),
+            request(1, 1, "read", &[("HTTP_X_CRITICALITY", "NaN")], b""),
+            request(1, 1, "read", &[("HTTP_X_CORRELATION_ID", "7")], b""),
+            request(1, 1, "read", &[("REQUEST_METHOD", "GET")], b""),
+            request(1, 1, "read", &[("HTTP_X_ARRIVED_MS", "-5")], b""),
+            request(1, 1, "sign", &[], b"without a key"),
+            request(1, 1, "read", &[("LONG", &"x".repeat(9000))], b""),
+            request(1, 1, "read", &[], &[7; 2049]),
+        ];
+        for case in cases {
+            balancer.send(case).await;
+            let (_, answer, _) = balancer.answer().await.unwrap();
+            assert!(answer.starts_with("Status: 400 "), "{answer}");
+        }
+        balancer.send(request(1, 1, "read", &[], &[7; 2048])).await;
+        assert_eq!(nodo.applied().await, "0000000000000001");
+        // The same id once more, while that one is here, is a bad request too.
+        balancer.send(request(2, 1, "read", &[], b"")).await;
+        assert!(balancer.answer().await.unwrap().1.starts_with("Status: 400 "));
+    });
+}
+
+#[test]
+fn lost_framing_ends_that_connection_only() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let (mut one, mut other) = (nodo.connect().await, nodo.connect().await);
+        one.send(b"GET / HTTP/1.1\r\n\r\n").await;
+        assert_eq!(one.record().await, None);
+        other.send(request(9, 5, "read", &[], b"")).await;
+        let uid = nodo.applied().await;
+        nodo.link.send(value(1, &uid, "ERROR", "")).await;
+        assert!(other.answer().await.unwrap().1.starts_with("Status: 500 "));
+    });
+}
+
+#[test]
+fn the_end_of_what_a_balancer_sends_is_no_abort_and_a_reset_is() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        balancer.send(request(1, 5, "read", &[], b"")).await;
+        tokio::io::AsyncWriteExt::shutdown(&mut balancer.stream).await.unwrap();
+        let uid = nodo.applied().await;
+        nodo.link.send(value(1, &uid, "OK", "")).await;
+        assert!(balancer.answer().await.unwrap().1.starts_with("Status: 200 "));
+        assert_eq!(balancer.record().await, None);
+        let mut balancer = nodo.connect().await;
+        balancer.send(request(1, 6, "read", &[], b"")).await;
+        nodo.applied().await;
+        balancer.stream.set_zero_linger().unwrap();
+        drop(balancer);
+        let stop = nodo.command().await;
+        assert_eq!([field(&stop, "action"), field(&stop, "uid")], ["BREAK", "0000000000000006"]);
+    });
+}
+
+#[test]
+fn a_keyed_request_runs_once_and_its_tries_share_the_result() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        let key = [("HTTP_X_OPERATION_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211")];
+        let try_of = |id: u16| request(id, u64::from(id), "sign", &key, b"sign");
+        balancer.send(try_of(1)).await;
+        let uid = nodo.applied().await;
+        balancer.send(try_of(2)).await;
+        // Another request behind it shows that the second try was read and not run.
+        balancer.send(request(9, 9, "read", &[], b"")).await;
+        assert_eq!(nodo.applied().await, "0000000000000009");
+        nodo.link.send(value(1, &uid, "OK", "c2lnbmVk")).await;
+        for _ in 0..2 {
+            let (_, answer, _) = balancer.answer().await.unwrap();
+            assert!(answer.starts_with("Status: 200 ") && answer.ends_with("\r\n\r\nsigned"), "{answer}");
+        }
+        balancer.send(try_of(3)).await;
+        assert!(balancer.answer().await.unwrap().1.ends_with("\r\n\r\nsigned"));
+    });
+}
+
+#[test]
+fn after_a_break_the_link_hears_what_it_missed_and_sends_again_what_may_be_lost() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        balancer.send([request(1, 1, "read", &[], b""), request(2, 2, "read", &[], b"")].concat()).await;
+        let (first, second) = (nodo.applied().await, nodo.applied().await);
+        nodo.link.send(value(1, "ffffffffffffffff", "OK", "")).await;
+        // The end of the first run is on its way when the link breaks; of the second run nothing is known.
+        nodo.link = Peer::accept_after_break(nodo.link, &nodo.interpreter).await;
+        let missed = [value(1, &second, "OK", "bm8="), value(2, &first, "OK", "eWVz")].concat();
+        catch_up(&mut nodo.link, 1, &missed).await;
+        let (id, answer, _) = balancer.answer().await.unwrap();
+        assert!(
+            id == 1 && answer.ends_with("\r\n\r\nyes"),
+            "a notice that was read already is skipped: {answer}"
+        );
+        assert_eq!(nodo.applied().await, second);
+    });
+}
+
+#[test]
+fn a_nodo_that_leaves_says_so_answers_all_and_ends() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        balancer.send(request(1, 1, "read", &[], b"")).await;
+        let uid = nodo.applied().await;
+        nodo.leave.send(()).unwrap();
+        assert!(nodo.directory.http().await.ends_with(r#"{"mode":"closed"}"#));
+        // The grace of these settings is over at once.
+        balancer.send(request(2, 2, "read", &[], b"")).await;
+        let (id, answer, _) = balancer.answer().await.unwrap();
+        assert!(id == 2 && answer.starts_with("Status: 503 "), "{answer}");
+        assert!(answer.contains("\r\nX-Pushback-Ms: 1000\r\n"), "{answer}");
+        nodo.link.send(value(1, &uid, "OK", "eWVz")).await;
+        assert!(balancer.answer().await.unwrap().1.ends_with("\r\n\r\nyes"));
+        assert!(nodo.done.await.unwrap().is_ok());
+        assert_eq!(balancer.record().await, None);
+        assert!(TcpStream::connect(nodo.address).await.is_err());
+    });
+}
