Test the parsers against random cuts and garbage from fixed seeds

Records, heads of replies and the interpreter's lines: 200 cases each; also management records, OVERLOADED and the shared budget. Ruled out: a panic, a stack exhausted by deep JSON, and a request made of garbage.

--- /dev/null
+++ b/node/tests/parsers.rs
@@ -0,0 +1,190 @@
+//! The parsers against random cuts of valid messages and random garbage, from fixed seeds: however the bytes come, the
+//! same is read, and nothing panics or is taken for what it is not.
+
+mod common;
+use common::*;
+use jaspershunt_node::fastcgi::records::{self, kind, put_pair, put_record};
+use jaspershunt_node::fastcgi::requests::{Budget, MAX_OPEN, Requests, Step};
+use jaspershunt_node::http;
+use jaspershunt_node::interpreter::{Message, RunEnd, read_line};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn fixed(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..Default::default()
+    }
+}
+
+/// Feeds bytes in pieces, as a connection does; what was read, or `None` where the framing is lost.
+fn feed(requests: &mut Requests, pieces: &[&[u8]], out: &mut Vec<u8>) -> Option<Vec<Step>> {
+    let (mut input, mut steps) = (Vec::new(), Vec::new());
+    for piece in pieces {
+        input.extend(*piece);
+        let mut rest = &input[..];
+        while let Some(record) = records::next_record(&mut rest).ok()? {
+            let step = requests.take(&record, out).ok()?;
+            if step != Step::Nothing {
+                steps.push(step);
+            }
+        }
+        input = rest.to_vec();
+    }
+    Some(steps)
+}
+
+fn cut<'a>(bytes: &'a [u8], at: &[prop::sample::Index]) -> Vec<&'a [u8]> {
+    let mut at: Vec<usize> = at.iter().map(|i| i.index(bytes.len() + 1)).chain([0, bytes.len()]).collect();
+    at.sort_unstable();
+    at.windows(2).map(|ends| &bytes[ends[0]..ends[1]]).collect()
+}
+
+fn new_requests() -> Requests {
+    Requests::new(Budget::new(1 << 20))
+}
+
+proptest! {
+    #![proptest_config(fixed(1))]
+
+    #[test]
+    fn records_read_alike_however_they_are_cut(
+        body in prop::collection::vec(any::<u8>(), 0..2048),
+        at in prop::collection::vec(any::<prop::sample::Index>(), 0..20),
+        padding in any::<u8>(),
+    ) {
+        let mut bytes = request(1, 7, "read", &[("LONG", &"y".repeat(300))], &body);
+        // A record that is not known, with padding, and a second request behind it.
+        bytes.extend([1, 77, 0, 1, 0, 2, padding, 0, 9, 9]);
+        bytes.extend(vec![0; padding.into()]);
+        bytes.extend(request(2, 8, "sign", &[], b"x"));
+        let steps = feed(&mut new_requests(), &cut(&bytes, &at), &mut Vec::new()).unwrap();
+        let [Step::Whole(one), Step::Whole(two)] = &steps[..] else { panic!("{steps:?}") };
+        prop_assert_eq!((one.id, &one.body, two.id, &two.body[..]), (1, &body, 2, &b"x"[..]));
+        let pairs = records::pairs(one.params.as_ref().unwrap()).unwrap();
+        prop_assert_eq!((pairs.len(), pairs[0].1.len()), (8, 300));
+    }
+
+    #[test]
+    fn garbage_is_never_a_request(bytes in prop::collection::vec(any::<u8>(), 0..3000), version in any::<bool>()) {
+        let mut bytes = bytes;
+        if let Some(first) = bytes.first_mut().filter(|_| version) {
+            *first = 1;
+        }
+        let steps = feed(&mut new_requests(), &[&bytes], &mut Vec::new());
+        prop_assert!(steps.is_none_or(|steps| !steps.iter().any(|step| matches!(step, Step::Whole(_)))));
+        if let Some(pairs) = records::pairs(&bytes) {
+            let length: usize = pairs.iter().map(|(name, value)| 2 + name.len() + value.len()).sum();
+            prop_assert!(length <= bytes.len());
+        }
+        prop_assert!(!matches!(http::read_head(&bytes), Ok(Some(_))));
+        prop_assert!(read_line(&bytes).is_err());
+    }
+
+    #[test]
+    fn heads_of_replies_read_alike_however_they_are_cut(
+        status in 200u16..600, length in 0usize..9999, never in any::<bool>(), at in any::<prop::sample::Index>(),
+    ) {
+        let marked = if never { "never-started:1\r\n" } else { "" };
+        let text = format!("HTTP/1.1 {status} Some reason\r\nContent-Length: {length}\r\n{marked}X:  y \r\n\r\n");
+        let part = at.index(text.len());
+        prop_assert_eq!(http::read_head(&text.as_bytes()[..part]).unwrap(), None);
+        let (head, end) = http::read_head(format!("{text}body").as_bytes()).unwrap().unwrap();
+        prop_assert_eq!((head.status, head.length, head.never_started), (status, Some(length), never));
+        prop_assert_eq!(end, text.len());
+    }
+
+    #[test]
+    fn cut_lines_of_the_interpreter_are_named_and_whole_ones_read(
+        result in prop::collection::vec(any::<u8>(), 0..4096), at in any::<prop::sample::Index>(),
+    ) {
+        use base64::Engine;
+        let line = value(5, "ab", "OK", &base64::engine::general_purpose::STANDARD.encode(&result));
+        let line = line.trim_end();
+        prop_assert!(read_line(&line.as_bytes()[..at.index(line.len())]).is_err());
+        let read = Message::Value { pos: 5, uid: "ab".into(), end: RunEnd::Done(result) };
+        prop_assert_eq!(read_line(line.as_bytes()), Ok(read));
+    }
+}
+
+#[test]
+fn deep_json_does_not_exhaust_the_stack() {
+    assert!(read_line("[".repeat(60_000).as_bytes()).unwrap_err().contains("deep"));
+}
+
+#[test]
+fn a_gauge_without_a_reading_is_none_and_never_0() {
+    let line = br#"{"action":"TOPS","echo":"3-9","meters":[0.25,null,"x",0]}"#;
+    let readings = vec![Some(0.25), None, None, Some(0.0)];
+    assert_eq!(read_line(line), Ok(Message::Gauges { tag: 3, vouches: 9, readings }));
+}
+
+/// The records that `bytes` are answered with.
+fn answers(requests: &mut Requests, bytes: &[u8]) -> Vec<(u8, u16, Vec<u8>)> {
+    let mut out = Vec::new();
+    feed(requests, &[bytes], &mut out).unwrap();
+    let (mut rest, mut records) = (&out[..], Vec::new());
+    while let Some(record) = records::next_record(&mut rest).unwrap() {
+        records.push((record.kind, record.id, record.content.to_vec()));
+    }
+    records
+}
+
+#[test]
+fn management_records_and_unknown_roles_are_answered_as_the_protocol_says() {
+    let mut bytes = Vec::new();
+    let mut wanted = Vec::new();
+    put_pair(&mut wanted, b"FCGI_MPXS_CONNS", b"");
+    put_record(&mut bytes, kind::GET_VALUES, 0, &wanted);
+    put_record(&mut bytes, 99, 0, b"");
+    put_record(&mut bytes, 99, 4, b"of no request");
+    put_record(&mut bytes, kind::BEGIN_REQUEST, 5, &[0, 3, 1, 0, 0, 0, 0, 0]);
+    let answered = answers(&mut new_requests(), &bytes);
+    let values = b"\x0f\x01FCGI_MPXS_CONNS1".to_vec();
+    let expected = [
+        (kind::GET_VALUES_RESULT, 0, values),
+        (kind::UNKNOWN_TYPE, 0, vec![99, 0, 0, 0, 0, 0, 0, 0]),
+        (kind::END_REQUEST, 5, vec![0, 0, 0, 0, 3, 0, 0, 0]),
+    ];
+    assert_eq!(answered, expected);
+}
+
+#[test]
+fn beyond_32_open_requests_and_beyond_the_memory_a_request_is_overloaded() {
+    let overloaded = vec![0, 0, 0, 0, 2, 0, 0, 0];
+    let begin = |id: u16| {
+        let mut bytes = Vec::new();
+        put_record(&mut bytes, kind::BEGIN_REQUEST, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+        bytes
+    };
+    let mut requests = new_requests();
+    let many: Vec<u8> = (1..=MAX_OPEN as u16 + 1).flat_map(begin).collect();
+    assert_eq!(answers(&mut requests, &many), [(kind::END_REQUEST, 33, overloaded.clone())]);
+    // What is over the budget ends, and what it had is given back.
+    let budget = Budget::new(1000);
+    let mut requests = Requests::new(budget.clone());
+    let mut bytes = [begin(1), begin(2)].concat();
+    put_record(&mut bytes, kind::STDIN, 1, &[0; 600]);
+    put_record(&mut bytes, kind::STDIN, 2, &[0; 600]);
+    assert_eq!(answers(&mut requests, &bytes), [(kind::END_REQUEST, 2, overloaded)]);
+    drop(requests);
+    assert!(budget.take(1000) && !budget.take(1));
+}
+
+#[test]
+fn an_abort_closes_what_is_not_whole_and_names_what_is() {
+    let mut requests = new_requests();
+    let mut bytes = request(1, 1, "read", &[], b"");
+    put_record(&mut bytes, kind::BEGIN_REQUEST, 2, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    put_record(&mut bytes, kind::ABORT_REQUEST, 1, b"");
+    put_record(&mut bytes, kind::ABORT_REQUEST, 2, b"");
+    let mut out = Vec::new();
+    let steps = feed(&mut requests, &[&bytes], &mut out).unwrap();
+    assert!(
+        matches!(steps[..], [Step::Whole(_), Step::Aborted(1), Step::Ended { close: false }]),
+        "{steps:?}"
+    );
+    assert_eq!(requests.len(), 1);
+}
