Ask for the gauges only once the interpreter is up, or a restarted nodo never works

The logs of the restarted nodos say "TOP of 0-0 was not carried out", before their banner.

Cause: Link::converse (interpreter.rs) sent its first TOP right behind CONNECT and held all commands back until the answer. An interpreter that is not up yet rejects the TOP, so no command was ever sent on that link; runs then were only failed when they fell due.

Now the TOP follows the banner, and a rejected one counts as answered. The new test fails on the code before.

--- a/node/src/interpreter.rs
+++ b/node/src/interpreter.rs
@@ -25,6 +25,8 @@
 const MAX_NESTED: usize = 64;
 /// Between attempts to connect.
 const RECONNECT: Duration = Duration::from_millis(100);
+/// Asks for the gauges to learn when all that was missed has been heard; the engine's tags begin at 1.
+const CATCH_UP: Command = Command::Gauges { tag: 0 };
 /// Commands that wait to be sent.
 pub const QUEUE: usize = 4096;
 
@@ -332,8 +334,6 @@
         commands: &mut mpsc::Receiver<Command>,
     ) -> io::Result<()> {
         self.output.extend(message("CONNECT", [("pos", number(memory.pos))]).into_bytes());
-        // Its answer comes behind all notices that were missed. It vouches for nothing that another link carried.
-        Command::Gauges { tag: 0 }.write(&mut self.output, 0);
         let mut caught_up = false;
         loop {
             let (mut reader, mut writer) = self.stream.split();
@@ -378,7 +378,16 @@
             rest = &rest[end + 1..];
             match read_line(line) {
                 Ok(message) => {
-                    caught_up |= matches!(message, Message::Gauges { tag: 0, .. });
+                    match &message {
+                        // Until the interpreter is up it turns away all but the greeting, so only now the link asks
+                        // for what comes behind all notices that were missed. The answer vouches for nothing that
+                        // another link carried.
+                        Message::Banner { .. } => CATCH_UP.write(&mut self.output, 0),
+                        Message::Gauges { tag: 0, .. } => caught_up = true,
+                        // Turned away all the same, it still was answered in its turn.
+                        Message::Rejected { command, .. } if command == "TOP" => caught_up = true,
+                        _ => {}
+                    }
                     if memory.heard(&message) && self.engine.send(Input::Heard(message)).await.is_err() {
                         return Ok(caught_up);
                     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Whether nothing has come beyond what was read.
+    pub fn is_silent(&mut self) -> bool {
+        self.input.get_mut().is_empty() && self.stream.try_read(&mut [0]).is_err()
+    }
+
     pub async fn line(&mut self) -> Option<String> {
         self.until(b"\n").await
     }
@@ -175,30 +180,43 @@
     pub address: SocketAddr,
     pub interpreter: TcpListener,
     pub database: TcpListener,
-    pub directory: Peer,
+    pub directory: Option<Peer>,
     pub link: Peer,
-    pub leave: oneshot::Sender<()>,
+    pub leave: Option<oneshot::Sender<()>>,
     pub done: JoinHandle<std::io::Result<()>>,
 }
 
 impl Nodo {
     /// Starts a nodo whose interpreter is up and which is in the directory.
     pub async fn start() -> Nodo {
+        let (mut nodo, lookup) = Nodo::start_early().await;
+        catch_up(&mut nodo.link, 0, "").await;
+        nodo.directory = Some(Peer::accept(&lookup).await);
+        assert!(nodo.report().await.ends_with(r#"{"mode":"open"}"#));
+        nodo
+    }
+
+    /// Starts a nodo whose interpreter accepts its link and is not up yet.
+    pub async fn start_early() -> (Nodo, TcpListener) {
         let (front, address) = listener().await;
         let (interpreter, vm) = listener().await;
         let (database, db) = listener().await;
-        let (directory, lookup) = listener().await;
+        let (lookup, directory) = listener().await;
         let (leave, told) = oneshot::channel();
-        let config = config(address, vm, lookup, db);
+        let config = config(address, vm, directory, db);
         let done = spawn_local(server::run(config, Clock::System, front, async {
             let _ = told.await;
         }));
-        let mut link = Peer::accept(&interpreter).await;
-        catch_up(&mut link, 0, "").await;
-        let mut directory = Peer::accept(&directory).await;
-        assert!(directory.http().await.ends_with(r#"{"mode":"open"}"#));
+        let link = Peer::accept(&interpreter).await;
+        (Nodo { address, interpreter, database, directory: None, link, leave: Some(leave), done }, lookup)
+    }
+
+    /// Takes a report to the directory.
+    pub async fn report(&mut self) -> String {
+        let directory = self.directory.as_mut().unwrap();
+        let report = directory.http().await;
         directory.send("HTTP/1.1 204 No Content\r\n\r\n").await;
-        Nodo { address, interpreter, database, directory, link, leave, done }
+        report
     }
 
     pub async fn connect(&self) -> Peer {
@@ -228,10 +246,10 @@
 pub async fn catch_up(link: &mut Peer, pos: u64, missed: &str) {
     let connect = link.line().await.unwrap();
     assert!(connect.contains(r#""CONNECT""#) && connect.contains(&format!(r#""pos":{pos}"#)), "{connect}");
+    link.send(concat!(r#"{"action":"BANNER","code":"WARM","wall_ms":5000}"#, "\n")).await;
     let top = link.line().await.unwrap();
-    let banner = r#"{"action":"BANNER","code":"WARM","wall_ms":5000}"#;
     let tops = format!(r#"{{"action":"TOPS","echo":"{}","meters":[0.5,1]}}"#, field(&top, "echo"));
-    link.send(format!("{banner}\n{missed}{tops}\n")).await;
+    link.send(format!("{missed}{tops}\n")).await;
 }
 
 pub fn value(pos: u64, uid: &str, code: &str, content: &str) -> String {
--- a/node/tests/nodo.rs
+++ b/node/tests/nodo.rs
@@ -128,6 +128,27 @@
     });
 }
 
+/// The interpreter may come up long after the nodo, and turns away whatever comes before: commands, if they waited for
+/// an answer to an early question, would never be sent.
+#[test]
+fn nothing_but_the_greeting_is_said_before_the_interpreter_is_up() {
+    local(async {
+        let (mut nodo, _lookup) = Nodo::start_early().await;
+        let mut balancer = nodo.connect().await;
+        balancer.send(request(1, 1, "read", &[("SCRIPT_NAME", "/healthz")], b"")).await;
+        assert!(balancer.answer().await.unwrap().1.starts_with("Status: 200 "));
+        balancer.send(request(2, 2, "read", &[], b"")).await;
+        assert!(balancer.answer().await.unwrap().1.starts_with("Status: 503 "));
+        assert!(nodo.link.line().await.unwrap().contains(r#""CONNECT""#));
+        assert!(nodo.link.is_silent());
+        nodo.link.send("{\"action\":\"BANNER\",\"code\":\"COLD\",\"wall_ms\":0}\n").await;
+        assert!(nodo.link.line().await.unwrap().contains(r#""TOP""#));
+        nodo.link.send("{\"action\":\"ERROR\",\"code\":\"TOP\",\"uid\":\"0-0\"}\n").await;
+        balancer.send(request(3, 3, "read", &[], b"")).await;
+        assert_eq!(nodo.applied().await, "0000000000000003");
+    });
+}
+
 #[test]
 fn after_a_break_the_link_hears_what_it_missed_and_sends_again_what_may_be_lost() {
     local(async {
@@ -156,8 +177,8 @@
         let mut balancer = nodo.connect().await;
         balancer.send(request(1, 1, "read", &[], b"")).await;
         let uid = nodo.applied().await;
-        nodo.leave.send(()).unwrap();
-        assert!(nodo.directory.http().await.ends_with(r#"{"mode":"closed"}"#));
+        nodo.leave.take().unwrap().send(()).unwrap();
+        assert!(nodo.report().await.ends_with(r#"{"mode":"closed"}"#));
         // The grace of these settings is over at once.
         balancer.send(request(2, 2, "read", &[], b"")).await;
         let (id, answer, _) = balancer.answer().await.unwrap();
