Test the engine on a paused clock, and bound what a peer may claim to have waited

Found by the test: one request with X-Arrived-Ms of long ago made the module take its waits (meter.unread_for) for ages, so that it held itself flooded and started nothing for a long while. Engine::arrive now takes a peer's word only up to the class's deadline.

The tests cover the due time, kept results, keys whose run came to nothing, tries in one step, the nodo's own guard of the keys, calls given up, lost notices, gauges, the time before the interpreter is up, and odd times.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -330,7 +330,9 @@
                 }
             }
         }
-        let arrived = work.arrived.map_or(self.now, |unix| (unix - self.epoch).min(self.now));
+        // A peer's word is taken only within what a request can have waited: the module learns from these times.
+        let earliest = self.now - self.settings.classes[work.class].deadline;
+        let arrived = work.arrived.map_or(self.now, |unix| (unix - self.epoch).max(earliest).min(self.now));
         self.events.push(Event::Arrived(Request {
             id,
             class: work.class,
@@ -715,3 +717,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/node/src/engine/tests.rs
@@ -0,0 +1,308 @@
+//! The engine with the test in the place of every other task, on a clock that stands until all is done.
+
+use super::*;
+use tokio::task::LocalSet;
+use tokio::time::timeout_at;
+
+const SETTINGS: &str = concat!(
+    r#"{"classes":[{"name":"read","worth":1,"targetS":2,"deadlineS":4,"semantics":"free"},"#,
+    r#"{"name":"sign","worth":3,"targetS":2,"deadlineS":4,"semantics":"guarded","windowS":60}],"#,
+    r#""domain":{"nCores":1,"heapKb":10000,"runFactor":4,"halt":"drop","say":"tokens","meters":["on_cores"],"#,
+    r#""classCalls":[true,true],"dependsOn":"common","fairCalls":3.5,"callsOverS":5,"readiness":true},"#,
+    r#""allowed":{"retryAfter":true,"maxRetryAfterS":1},"#,
+    r#""obligations":{"coldFrom":0.3,"coldS":9,"fallMultiple":5,"fallS":2,"drainGraceS":2}}"#
+);
+const UNIX: f64 = 1_764_576_000.0;
+
+struct Rig {
+    engine: Engine,
+    began: Instant,
+    inputs: mpsc::Receiver<Input>,
+    _input: mpsc::Sender<Input>,
+    commands: mpsc::Receiver<Command>,
+    calls: mpsc::Receiver<database::Call>,
+    mode: watch::Receiver<Option<Mode>>,
+    replies: mpsc::Receiver<(u16, Reply)>,
+    reply_to: mpsc::Sender<(u16, Reply)>,
+    pos: u64,
+}
+
+impl Rig {
+    fn new() -> Rig {
+        let mut rig = Rig::before_the_interpreter();
+        let banner = Message::Banner { cold: false, age: 5.0 };
+        rig.engine.round([Input::Heard(banner), Input::LinkUp]);
+        rig
+    }
+
+    fn before_the_interpreter() -> Rig {
+        let text = format!(
+            r#"{{"name":"n","listen":"127.0.0.1:1","vm":"127.0.0.1:2","lookup":"127.0.0.1:3","db":"127.0.0.1:4","settings":{SETTINGS}}}"#
+        );
+        let config = crate::config::read(&text, |_| None).unwrap();
+        let (input, inputs) = mpsc::channel(100);
+        let (interpreter, commands) = mpsc::channel(100);
+        let (database, calls) = mpsc::channel(100);
+        let (directory, mode) = watch::channel(None);
+        let (idle, owed) = (watch::channel(Idle::default()).0, watch::channel(0).0);
+        let (reply_to, replies) = mpsc::channel(100);
+        let ways = Ways { engine: input.downgrade(), interpreter, database, directory, idle, owed };
+        let engine = Engine::new(&config, Clock::runtime(UNIX), ways);
+        let began = Instant::now();
+        Rig { engine, began, inputs, _input: input, commands, calls, mode, replies, reply_to, pos: 0 }
+    }
+
+    fn work(&self, id: u64, class: usize, waited: f64) -> Input {
+        let work = Work {
+            uid: format!("{id:016x}").into(),
+            class,
+            tenant: None,
+            caller: jaspershunt::CallerId(id),
+            arrived: Some(self.engine.clock.now() - waited),
+            resent: false,
+            cost_hint: None,
+            held_kb: 10.0,
+            rank: 0.5,
+            key: (class == 1).then(|| Key::from("one key")),
+            body: vec![1],
+        };
+        Input::Work { id: RequestId(id), work, reply: ReplyTo::new(self.reply_to.clone(), id as u16) }
+    }
+
+    fn value(&mut self, id: u64, end: RunEnd) -> Input {
+        self.pos += 1;
+        Input::Heard(Message::Value { pos: self.pos, uid: format!("{id:016x}").into(), end })
+    }
+
+    fn wait(&mut self, id: u64) -> Input {
+        self.pos += 1;
+        Input::Heard(Message::Await { pos: self.pos, uid: format!("{id:016x}").into(), content: vec![2] })
+    }
+
+    /// Lets so much time pass since the start, with all timers that come due.
+    async fn until(&mut self, seconds: f64) {
+        let end = self.began + Duration::from_secs_f64(seconds);
+        while let Ok(Some(input)) = timeout_at(end, self.inputs.recv()).await {
+            self.engine.round([input]);
+        }
+    }
+
+    /// The commands since the last look, without questions for the gauges.
+    fn commands(&mut self) -> Vec<String> {
+        let all = std::iter::from_fn(|| self.commands.try_recv().ok());
+        let name = |command| match command {
+            Command::Apply { uid, .. } => Some(format!("apply {}", &uid[15..])),
+            Command::Break { uid } => Some(format!("break {}", &uid[15..])),
+            Command::Resolve { uid, content } => Some(format!("resolve {} {content:?}", &uid[15..])),
+            Command::Stub { uid, pos } => Some(format!("stub {} {pos}", &uid[15..])),
+            Command::Gauges { .. } => None,
+        };
+        all.filter_map(name).collect()
+    }
+
+    fn answers(&mut self) -> Vec<(u16, Answer)> {
+        std::iter::from_fn(|| self.replies.try_recv().ok()).map(|(id, reply)| (id, reply.answer)).collect()
+    }
+}
+
+/// Runs a test on a clock that only moves when nothing else is left to do.
+fn paused(test: impl Future<Output = ()>) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn served(bytes: &[u8]) -> Answer {
+    Answer::Served(bytes.into())
+}
+
+#[test]
+fn running_work_is_failed_on_time_and_a_later_result_serves_its_key() {
+    paused(async {
+        let mut rig = Rig::new();
+        let work = rig.work(1, 1, 0.5);
+        rig.engine.round([work]);
+        assert_eq!(rig.commands(), ["apply 1"]);
+        // The wait counts from when it came to the machine: its 2 s end at 1.5 s, and the answer is given just ahead.
+        rig.until(1.47).await;
+        assert_eq!(rig.answers(), []);
+        rig.until(1.5).await;
+        assert_eq!(rig.answers(), [(1, Answer::Failed)]);
+        assert_eq!(rig.commands(), ["break 1"]);
+        // The result crosses the order to stop.
+        let end = rig.value(1, RunEnd::Done(vec![7]));
+        let again = rig.work(2, 1, 0.0);
+        rig.engine.round([end, again]);
+        assert_eq!(rig.answers(), [(2, served(&[7]))]);
+        assert!(rig.commands().is_empty());
+    });
+}
+
+#[test]
+fn a_key_whose_run_came_to_nothing_neither_runs_again_nor_is_turned_away() {
+    paused(async {
+        for end in [RunEnd::Failed, RunEnd::Stopped, RunEnd::NotStarted] {
+            let mut rig = Rig::new();
+            let work = rig.work(1, 1, 0.0);
+            rig.engine.round([work]);
+            let end = rig.value(1, end);
+            rig.engine.round([end]);
+            assert_eq!(rig.answers(), [(1, Answer::Failed)]);
+            rig.until(59.0).await;
+            let again = rig.work(2, 1, 0.0);
+            rig.engine.round([again]);
+            assert_eq!(rig.answers(), [(2, Answer::Failed)]);
+            assert_eq!(rig.commands(), ["apply 1"]);
+            // After the window it is a request like any other.
+            rig.until(60.2).await;
+            let late = rig.work(3, 1, 0.0);
+            rig.engine.round([late]);
+            assert_eq!(rig.commands(), ["apply 3"]);
+        }
+    });
+}
+
+#[test]
+fn tries_of_one_key_in_one_step_know_each_other() {
+    paused(async {
+        let mut rig = Rig::new();
+        let tries = [rig.work(1, 1, 0.0), rig.work(2, 1, 0.0)];
+        rig.engine.round(tries);
+        assert_eq!(rig.commands(), ["apply 2"]);
+        assert_eq!(rig.answers(), [(1, Answer::Refused { stay_away: 0.0, last: true })]);
+    });
+}
+
+#[test]
+fn the_nodo_itself_keeps_a_key_from_running_twice_or_being_turned_away_after_its_run() {
+    paused(async {
+        let mut rig = Rig::new();
+        let work = rig.work(1, 1, 0.0);
+        rig.engine.round([work]);
+        let second = rig.work(2, 1, 0.0);
+        rig.engine.take(second);
+        let third = rig.work(3, 1, 0.0);
+        rig.engine.take(third);
+        // Whatever a module might ask for.
+        rig.engine.carry_out(Action::Run(RequestId(2)));
+        rig.engine.carry_out(Action::Refuse { id: RequestId(3), stay_away: 0.0, last: false });
+        assert_eq!(rig.commands(), ["apply 1"]);
+        assert_eq!(rig.answers(), [(3, Answer::Failed)]);
+        let end = rig.value(1, RunEnd::Done(vec![7]));
+        rig.engine.round([end]);
+        assert_eq!(rig.answers(), [(2, served(&[7])), (1, served(&[7]))]);
+    });
+}
+
+#[test]
+fn calls_end_with_their_run_and_a_second_call_gives_up_the_first() {
+    paused(async {
+        let mut rig = Rig::new();
+        let work = rig.work(1, 0, 0.0);
+        rig.engine.round([work]);
+        let wait = rig.wait(1);
+        rig.engine.round([wait]);
+        let mut first = rig.calls.try_recv().unwrap();
+        assert!(first.give_up_after <= Duration::from_secs(2));
+        rig.engine.make_call(RequestId(1), 1.0);
+        let mut second = rig.calls.try_recv().unwrap();
+        assert!(first.given_up.try_recv() == Err(oneshot::error::TryRecvError::Closed));
+        // What the first one still says counts for nothing.
+        let end = |call: &database::Call, outcome| {
+            let end = CallEnd { outcome, body: vec![3] };
+            Input::CallEnded { id: call.id, number: call.number, end, took: 0.1 }
+        };
+        rig.engine.round([end(&first, Outcome::Done)]);
+        assert!(second.given_up.try_recv() == Err(oneshot::error::TryRecvError::Empty));
+        rig.engine.round([end(&second, Outcome::Done)]);
+        assert_eq!(rig.commands(), ["apply 1", "resolve 1 [3]"]);
+        let wait = rig.wait(1);
+        rig.engine.round([wait]);
+        let mut third = rig.calls.try_recv().unwrap();
+        let stopped = rig.value(1, RunEnd::Stopped);
+        rig.engine.round([Input::Gone { id: RequestId(1) }, stopped]);
+        assert!(third.given_up.try_recv() == Err(oneshot::error::TryRecvError::Closed));
+    });
+}
+
+#[test]
+fn a_run_whose_end_is_never_heard_of_is_let_go() {
+    paused(async {
+        let mut rig = Rig::new();
+        let work = rig.work(1, 0, 0.0);
+        rig.engine.round([work]);
+        rig.until(10.0).await;
+        assert_eq!(rig.answers().len(), 1);
+        assert_eq!(rig.engine.requests.len(), 1);
+        rig.until(60.0).await;
+        assert!(rig.engine.requests.is_empty() && rig.engine.by_uid.is_empty());
+    });
+}
+
+#[test]
+fn wakes_ask_for_the_gauges_and_go_without_where_none_come() {
+    paused(async {
+        let mut rig = Rig::new();
+        let work = rig.work(1, 0, 0.0);
+        rig.engine.round([work]);
+        rig.commands();
+        rig.engine.round([Input::Woke { token: 0 }]);
+        let Ok(Command::Gauges { tag }) = rig.commands.try_recv() else { panic!("no question") };
+        assert_eq!(rig.engine.wakes.len(), 1);
+        rig.engine.round([Input::Heard(Message::Gauges { tag, vouches: 1, readings: vec![Some(1.0)] })]);
+        assert!(rig.engine.wakes.is_empty());
+        // No answer: the wake waits no longer than it may.
+        rig.until(0.05).await;
+        rig.engine.round([Input::Woke { token: 0 }]);
+        assert_eq!(rig.engine.wakes.len(), 1);
+        rig.until(0.07).await;
+        assert!(rig.engine.wakes.is_empty());
+        // No link: nobody is asked.
+        rig.engine.round([Input::LinkDown]);
+        while rig.commands.try_recv().is_ok() {}
+        rig.engine.round([Input::Woke { token: 0 }]);
+        assert!(rig.engine.wakes.is_empty() && rig.commands.try_recv().is_err());
+    });
+}
+
+#[test]
+fn until_the_interpreter_is_up_nothing_is_reported_and_nothing_taken() {
+    paused(async {
+        let mut rig = Rig::before_the_interpreter();
+        let check = Input::Check { reply: ReplyTo::new(rig.reply_to.clone(), 9) };
+        let work = rig.work(1, 0, 0.0);
+        rig.engine.round([check, work]);
+        assert_eq!(
+            rig.answers(),
+            [(9, Answer::Health { good: true }), (1, Answer::Refused { stay_away: 1.0, last: false })]
+        );
+        assert_eq!(*rig.mode.borrow(), None);
+        rig.engine.round([Input::Heard(Message::Banner { cold: true, age: 1.0 })]);
+        assert_eq!(*rig.mode.borrow(), Some(Mode::Open));
+        // Told to leave before that, it takes nothing when the interpreter comes up.
+        let mut rig = Rig::before_the_interpreter();
+        rig.engine.round([Input::Leave]);
+        rig.engine.round([Input::Heard(Message::Banner { cold: true, age: 1.0 })]);
+        assert_eq!(*rig.mode.borrow(), Some(Mode::Closed));
+    });
+}
+
+/// A peer that names a time long past must not make the module believe that requests lie unread for ages, for which it
+/// would run nothing for a long while.
+#[test]
+fn a_time_of_arrival_that_makes_no_sense_does_no_harm() {
+    paused(async {
+        let mut rig = Rig::new();
+        let future = rig.work(1, 0, -1e12);
+        rig.engine.round([future]);
+        assert_eq!(rig.commands(), ["apply 1"]);
+        let past = rig.work(2, 0, 1e12);
+        rig.engine.round([past]);
+        assert!(matches!(rig.answers()[..], [(2, Answer::Refused { .. })]));
+        rig.until(1.5).await;
+        let end = rig.value(1, RunEnd::Done(vec![]));
+        let next = rig.work(3, 0, 0.0);
+        rig.engine.round([end, next]);
+        assert_eq!(rig.commands(), ["apply 3"]);
+    });
+}
