Ask the system whether an idle connection is still open before it is used again

Found by a test that hung: a connection that the database had closed was used for the next call, which then broke and proved nothing. The runtime's readiness, which try_read goes by (http.rs, alive), is only as new as its last look at the sockets. socket.rs now peeks at the socket itself; a balancer's idle connection is closed by the same test.

Tests of the database, the directory and the configuration; a test that waits for what never comes fails after 60 s.

--- a/node/src/database.rs
+++ b/node/src/database.rs
@@ -2,6 +2,7 @@
 
 use crate::engine::Input;
 use crate::http;
+use crate::socket;
 use jaspershunt::{Outcome, RequestId};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -114,7 +115,7 @@
     /// An idle connection that is surely open.
     fn take(&mut self) -> Option<TcpStream> {
         let now = Instant::now();
-        self.idle.retain(|(since, stream)| now.duration_since(*since) < IDLE && http::alive(stream));
+        self.idle.retain(|(since, stream)| now.duration_since(*since) < IDLE && socket::silent(stream));
         self.idle.pop().map(|(_, stream)| stream)
     }
 }
--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -2,6 +2,7 @@
 
 use crate::http;
 use crate::log;
+use crate::socket;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -63,7 +64,7 @@
     mode: Mode,
     stream: Option<TcpStream>,
 ) -> io::Result<Option<TcpStream>> {
-    let mut stream = match stream.filter(http::alive) {
+    let mut stream = match stream.filter(socket::silent) {
         Some(stream) => stream,
         None => TcpStream::connect(address).await?,
     };
--- a/node/src/fastcgi/connection.rs
+++ b/node/src/fastcgi/connection.rs
@@ -6,6 +6,7 @@
 use crate::engine::{Idle, Input};
 use crate::log;
 use crate::request::{self, Answer, Asked, BadRequest, Reply, ReplyTo};
+use crate::socket::silent;
 use jaspershunt::{RequestId, Settings};
 use jaspershunt_settings::Names;
 use std::cell::Cell;
@@ -190,7 +191,7 @@
                 (false, true) => Some(Interest::WRITABLE),
                 (false, false) => None,
             };
-            if idle.borrow().standing && self.may_close().await? {
+            if idle.borrow().standing && self.may_close() {
                 return Ok(End::Finished);
             }
             tokio::select! {
@@ -212,7 +213,7 @@
                 changed = idle.changed() => {
                     let limit = idle.borrow().limit;
                     let lapsed = changed.is_err() || self.last_traffic.elapsed() >= limit;
-                    if lapsed && self.may_close().await? {
+                    if lapsed && self.may_close() {
                         return Ok(End::Finished);
                     }
                 }
@@ -224,16 +225,10 @@
         }
     }
 
-    fn quiet(&self) -> bool {
-        self.requests.is_empty() && self.output.is_empty() && self.input.is_empty()
-    }
-
-    /// Whether the connection may be closed as idle: what has come in the meantime is read first.
-    async fn may_close(&mut self) -> Result<bool, End> {
-        if self.quiet() && !self.read_closed {
-            self.read().await?;
-        }
-        Ok(self.quiet())
+    /// Whether the connection may be closed as idle; not while something has come that is not read yet.
+    fn may_close(&self) -> bool {
+        let quiet = self.requests.is_empty() && self.output.is_empty() && self.input.is_empty();
+        quiet && (self.read_closed || silent(&self.stream))
     }
 
     /// Reads what is there and takes in all that is whole. The end of the peer's sending is no abort: what was read
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -118,8 +118,3 @@
 pub fn reusable(reply: &Reply) -> bool {
     reply.head.length.is_some() && !reply.head.close
 }
-
-/// Whether an idle connection is still open and silent.
-pub fn alive(stream: &TcpStream) -> bool {
-    matches!(stream.try_read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod log;
 pub mod request;
 pub mod server;
+pub mod socket;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -34,10 +34,14 @@
     config::read(&text, |_| None).unwrap()
 }
 
+/// No test takes a hundredth of this; one that waits for what never comes fails.
+const HANGS: std::time::Duration = std::time::Duration::from_secs(60);
+
 /// Runs a test on one thread, as the program runs.
 pub fn local(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    LocalSet::new().block_on(&runtime, test);
+    let bounded = async { tokio::time::timeout(HANGS, test).await.expect("the test hangs") };
+    LocalSet::new().block_on(&runtime, bounded);
 }
 
 pub async fn listener() -> (TcpListener, SocketAddr) {
--- /dev/null
+++ b/node/tests/peers.rs
@@ -0,0 +1,165 @@
+//! The database, the directory and the configuration, each on its own.
+
+mod common;
+use common::*;
+use jaspershunt::{Outcome, RequestId};
+use jaspershunt_node::config;
+use jaspershunt_node::database::{Call, CallEnd, make_calls};
+use jaspershunt_node::directory::{Mode, report};
+use jaspershunt_node::engine::Input;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+
+/// A pool for the address, what it tells the engine, and a way to call.
+struct Pool {
+    calls: mpsc::Sender<Call>,
+    inputs: mpsc::Receiver<Input>,
+    number: u64,
+}
+
+impl Pool {
+    fn new(address: SocketAddr) -> Pool {
+        let (engine, inputs) = mpsc::channel(10);
+        let (calls, out) = mpsc::channel(10);
+        spawn_local(make_calls(address, 4, engine, out));
+        Pool { calls, inputs, number: 0 }
+    }
+
+    async fn call(&mut self, give_up_after: Duration) -> oneshot::Sender<()> {
+        self.number += 1;
+        let (give_up, given_up) = oneshot::channel();
+        let (uid, body) = ("00000000000000ab".into(), b"query".to_vec());
+        let call = Call { id: RequestId(1), number: self.number, uid, body, give_up_after, given_up };
+        self.calls.send(call).await.unwrap();
+        give_up
+    }
+
+    async fn end(&mut self) -> CallEnd {
+        match self.inputs.recv().await {
+            Some(Input::CallEnded { number, end, .. }) if number == self.number => end,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+const LONG: Duration = Duration::from_secs(60);
+
+#[test]
+fn only_what_proves_it_is_said_not_to_have_run() {
+    local(async {
+        let (listener, address) = listener().await;
+        let mut pool = Pool::new(address);
+        let cases = [
+            ("200 OK\r\nContent-Length: 4\r\n\r\nrows", Outcome::Done),
+            ("503 Busy\r\nNever-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome::TurnedAway),
+            ("503 Busy\r\nContent-Length: 0\r\n\r\n", Outcome::Failed),
+            ("500 Error\r\nContent-Length: 0\r\n\r\n", Outcome::Failed),
+            ("504 Late\r\nContent-Length: 0\r\n\r\n", Outcome::GivenUp),
+            ("409 No\r\nNever-Started: 1\r\nContent-Length: 0\r\n\r\n", Outcome::NotStarted),
+        ];
+        let _open = pool.call(LONG).await;
+        // One connection carries all of them, one after another.
+        let mut database = Peer::accept(&listener).await;
+        let mut open = Vec::new();
+        for (reply, outcome) in cases {
+            assert!(database.http().await.contains("Statement-Timeout-Ms: 60000\r\n"));
+            database.send(format!("HTTP/1.1 {reply}")).await;
+            let end = pool.end().await;
+            assert_eq!(end.body, if outcome == Outcome::Done { &b"rows"[..] } else { b"" });
+            assert_eq!(end.outcome, outcome);
+            open.push(pool.call(LONG).await);
+        }
+        // A connection that breaks under a call proves nothing, nor does a reply that cannot be read.
+        database.http().await;
+        drop(database);
+        assert_eq!(pool.end().await.outcome, Outcome::Broken);
+        open.push(pool.call(LONG).await);
+        let mut database = Peer::accept(&listener).await;
+        database.http().await;
+        database.send("HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n").await;
+        assert_eq!(pool.end().await.outcome, Outcome::Broken);
+        drop(listener);
+        open.push(pool.call(LONG).await);
+        assert_eq!(pool.end().await.outcome, Outcome::Unreachable);
+    });
+}
+
+#[test]
+fn giving_a_call_up_closes_its_connection() {
+    local(async {
+        let (listener, address) = listener().await;
+        let mut pool = Pool::new(address);
+        let give_up = pool.call(LONG).await;
+        let mut database = Peer::accept(&listener).await;
+        database.http().await;
+        drop(give_up);
+        assert_eq!(database.line().await, None);
+        let _open = pool.call(Duration::from_millis(1)).await;
+        assert_eq!(pool.end().await.outcome, Outcome::GivenUp);
+    });
+}
+
+#[test]
+fn a_connection_that_the_database_closed_is_not_used_again() {
+    local(async {
+        let (listener, address) = listener().await;
+        let mut pool = Pool::new(address);
+        for _ in 0..2 {
+            let _open = pool.call(LONG).await;
+            let mut database = Peer::accept(&listener).await;
+            database.http().await;
+            database.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+            assert_eq!(pool.end().await.outcome, Outcome::Done);
+        }
+    });
+}
+
+#[test]
+fn the_directory_hears_of_each_change_and_again_after_an_outage() {
+    local(async {
+        let (listener, address) = listener().await;
+        let (mode, seen) = watch::channel(None);
+        spawn_local(async move { report(address, "n3", seen).await });
+        mode.send_replace(Some(Mode::Open));
+        let mut directory = Peer::accept(&listener).await;
+        let text = directory.http().await;
+        assert!(text.starts_with("PUT /dir/nodes/n3 HTTP/1.1\r\n") && text.ends_with(r#"{"mode":"open"}"#));
+        directory.send("HTTP/1.1 204 No Content\r\n\r\n").await;
+        mode.send_replace(Some(Mode::Closed));
+        assert!(directory.http().await.ends_with(r#"{"mode":"closed"}"#));
+        // The directory breaks off, and is told again when it is back.
+        drop(directory);
+        let mut directory = Peer::accept(&listener).await;
+        assert!(directory.http().await.ends_with(r#"{"mode":"closed"}"#));
+    });
+}
+
+#[test]
+fn what_is_wrong_in_the_configuration_is_named() {
+    let good = config_text("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4");
+    let none = |_: &str| None;
+    let read = config::read(&good, none).unwrap();
+    assert_eq!((read.name.as_str(), read.stop), ("n3", Duration::from_millis(3200)));
+    let told = |name: &str| (name == "NODE_LISTEN").then(|| "127.0.0.9:9".to_string());
+    assert_eq!(config::read(&good, told).unwrap().listen.to_string(), "127.0.0.9:9");
+    let cases = [
+        (r#""vm":"127.0.0.1:2","#, "", "vm is missing"),
+        (r#""db":"127.0.0.1:4""#, r#""db":"nowhere""#, "db must be an IP address with a port"),
+        (r#""lookup":"127.0.0.1:3""#, r#""lookup":7"#, "lookup must be a text"),
+        (r#""name":"n3""#, r#""name":"n/3""#, "name must hold"),
+        ("3200", "-1", "stop_ms must be at least 0"),
+        (r#""sockets":1024"#, r#""sockets":9"#, "limits.sockets must be at least 128"),
+        (r#""memory_mb":192"#, r#""memory_mb":"much""#, "limits.memory_mb must be a number"),
+        (r#""nCores":2"#, r#""nCores":0"#, "setting cores must be at least 1"),
+        (r#""heapKb":10000"#, r#""heapKb":"big""#, "settings.domain.heapKb must be a number"),
+        (r#""settings""#, r#""setting""#, "settings is missing"),
+        (r#"{"name""#, r#"["name""#, "NODE_CONFIG names a file that is not JSON"),
+    ];
+    for (from, to, expected) in cases {
+        let problem = config::read(&good.replacen(from, to, 1), none).unwrap_err().to_string();
+        assert!(problem.contains(expected), "{problem:?} should contain {expected:?}");
+    }
+    assert_eq!(config::load(none).unwrap_err().to_string(), "NODE_CONFIG is not set");
+}
