Let connections go whose half-sent request can never be whole

Found while reading Connection::converse (connection.rs): after the end of a peer's sending it waited until no request was open, also for those that were not whole and never would be. Such a connection stayed open for ever, with its descriptor and its task. Only whole requests are waited for now, and a request or record left half sent for 60 s ends its connection. Both tests fail on the code before.

--- a/node/src/fastcgi/connection.rs
+++ b/node/src/fastcgi/connection.rs
@@ -3,6 +3,7 @@
 
 use super::records::{Record, next_record, pairs, put_reply};
 use super::requests::{Budget, MAX_OPEN, Requests, Step, Whole};
+use crate::config::Config;
 use crate::engine::{Idle, Input};
 use crate::log;
 use crate::request::{self, Answer, Asked, BadRequest, Reply, ReplyTo};
@@ -24,6 +25,8 @@
 const MAX_UNWRITTEN: usize = 64 * 1024;
 /// An answer that cannot be written for so long is given up, and its connection with it.
 const WRITE_STALL: Duration = Duration::from_secs(60);
+/// A request or record that is not whole after so long without a byte is given up, and its connection with it.
+const READ_STALL: Duration = Duration::from_secs(60);
 /// Read at once.
 const CHUNK: usize = 4 * 1024;
 
@@ -95,6 +98,22 @@
 }
 
 impl Front {
+    /// No connection is open yet.
+    pub fn new(config: &Config, engine: mpsc::Sender<Input>, idle: watch::Receiver<Idle>) -> Front {
+        Front {
+            engine,
+            settings: config.settings.clone(),
+            names: config.names.clone(),
+            partial: Budget::new(config.bounds.partial),
+            unwritten: Budget::new(config.bounds.unwritten),
+            most: config.bounds.connections,
+            idle,
+            open: Cell::new(0),
+            ended: Notify::new(),
+            last_id: Cell::new(0),
+        }
+    }
+
     /// Asks the engine to have idle connections closed.
     fn idle_now(&self) {
         // A full queue means that the engine is busy; the next connection asks again.
@@ -180,8 +199,9 @@
     async fn converse(&mut self) -> Result<End, End> {
         let mut idle = self.front.idle.clone();
         loop {
+            // What is not whole by now never will be: waiting for it would keep the connection open for ever.
             let no_more = self.closing || self.read_closed;
-            if no_more && self.requests.is_empty() && self.output.is_empty() {
+            if no_more && self.requests.unanswered().next().is_none() && self.output.is_empty() {
                 return Ok(End::Finished);
             }
             let may_read = !self.read_closed && !self.closing && self.output.len() < MAX_UNWRITTEN;
@@ -217,6 +237,9 @@
                         return Ok(End::Finished);
                     }
                 }
+                () = sleep_until(self.last_traffic + READ_STALL), if may_read && self.partial() => {
+                    return Err(End::Fault("it leaves a request half sent"));
+                }
                 () = sleep_until(self.last_write + WRITE_STALL), if !self.output.is_empty() => {
                     return Err(End::Fault("its answers are not read"));
                 }
@@ -225,6 +248,11 @@
         }
     }
 
+    /// Whether the rest of a record or request is waited for.
+    fn partial(&self) -> bool {
+        !self.input.is_empty() || self.requests.len() > self.requests.unanswered().count()
+    }
+
     /// Whether the connection may be closed as idle; not while something has come that is not read yet.
     fn may_close(&self) -> bool {
         let quiet = self.requests.is_empty() && self.output.is_empty() && self.input.is_empty();
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -4,14 +4,12 @@
 use crate::config::Config;
 use crate::engine::{self, Engine, Idle, Input, Ways};
 use crate::fastcgi::connection::{Front, accept};
-use crate::fastcgi::requests::Budget;
 use crate::{database, directory, interpreter, log};
-use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -51,18 +49,7 @@
     spawn_local(database::make_calls(config.database, config.bounds.calls, engine_in.clone(), calls_out));
     let name = config.name.clone();
     spawn_local(async move { directory::report(config.directory, &name, mode_out).await });
-    let front = Rc::new(Front {
-        engine: engine_in.clone(),
-        settings: config.settings.clone(),
-        names: config.names.clone(),
-        partial: Budget::new(config.bounds.partial),
-        unwritten: Budget::new(config.bounds.unwritten),
-        most: config.bounds.connections,
-        idle: idle_out,
-        open: Cell::new(0),
-        ended: Notify::new(),
-        last_id: Cell::new(0),
-    });
+    let front = Rc::new(Front::new(&config, engine_in.clone(), idle_out));
     let (close, closed) = oneshot::channel::<()>();
     let accepting = spawn_local(accept(listener, front.clone(), async {
         let _ = closed.await;
--- a/node/tests/nodo.rs
+++ b/node/tests/nodo.rs
@@ -2,7 +2,14 @@
 
 mod common;
 use common::*;
+use jaspershunt_node::engine::Idle;
+use jaspershunt_node::fastcgi::connection::{Front, accept};
+use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, timeout};
 
 #[test]
 fn a_request_is_run_its_call_is_made_and_its_result_comes_back_unchanged() {
@@ -105,6 +112,22 @@
     });
 }
 
+/// Such a connection would be open for ever, and its descriptor with it.
+#[test]
+fn a_request_that_can_never_be_whole_does_not_keep_its_connection_open() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let whole = request(1, 1, "read", &[], b"");
+        let mut balancer = nodo.connect().await;
+        balancer.send([&whole[..], &request(2, 2, "read", &[], b"cut")[..40]].concat()).await;
+        tokio::io::AsyncWriteExt::shutdown(&mut balancer.stream).await.unwrap();
+        let uid = nodo.applied().await;
+        nodo.link.send(value(1, &uid, "OK", "")).await;
+        assert!(balancer.answer().await.unwrap().1.starts_with("Status: 200 "));
+        assert_eq!(balancer.record().await, None);
+    });
+}
+
 #[test]
 fn a_keyed_request_runs_once_and_its_tries_share_the_result() {
     local(async {
@@ -191,3 +214,25 @@
         assert!(TcpStream::connect(nodo.address).await.is_err());
     });
 }
+
+/// On a clock that jumps to the next timer when nothing else is left to do.
+#[test]
+fn a_request_left_half_sent_is_given_up() {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let (socket, address) = listener().await;
+        let config = config(address, address, address, address);
+        let (engine, _inputs) = mpsc::channel(9);
+        let (_idle, idle) = watch::channel(Idle::default());
+        let front = Rc::new(Front::new(&config, engine, idle));
+        spawn_local(accept(socket, front.clone(), std::future::pending()));
+        let began = Instant::now();
+        let mut balancer = Peer::new(TcpStream::connect(address).await.unwrap());
+        balancer.send(&request(1, 1, "read", &[], b"cut")[..40]).await;
+        let ended = timeout(Duration::from_secs(600), balancer.record()).await;
+        assert_eq!(ended, Ok(None));
+        assert!(began.elapsed() >= Duration::from_secs(60));
+        assert_eq!(front.open.get(), 0);
+    });
+}
