Test what the link sends again after a break, and record the last round

Tests of the link's memory: a reply to a call is not sent again once its run waits for the next one, an order to stop is, and gauges vouch for the commands before them only. server::run can't fail and no longer says that it might.

--- a/node/src/interpreter.rs
+++ b/node/src/interpreter.rs
@@ -402,3 +402,58 @@
         Ok(caught_up)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn uid() -> Rc<str> {
+        "ab".into()
+    }
+
+    /// What would be sent again after a break.
+    fn unsure(memory: &Memory) -> Vec<&'static str> {
+        let name = |command: &Command| match command {
+            Command::Apply { .. } => "apply",
+            Command::Break { .. } => "break",
+            Command::Resolve { .. } => "resolve",
+            Command::Stub { .. } => "stub",
+            Command::Gauges { .. } => "gauges",
+        };
+        memory.unsure.iter().map(|(_, command)| name(command)).collect()
+    }
+
+    #[test]
+    fn what_a_run_has_left_behind_is_not_sent_again() {
+        let (mut memory, mut out) = (Memory::default(), Vec::new());
+        let wait = |pos| Message::Await { pos, uid: uid(), content: vec![] };
+        memory.send(Command::Apply { uid: uid(), class: "c".into(), body: [].into() }, &mut out);
+        assert_eq!(unsure(&memory), ["apply"]);
+        assert!(memory.heard(&wait(1)));
+        memory.send(Command::Resolve { uid: uid(), content: vec![] }, &mut out);
+        // A notice that comes again tells nothing of what was sent since.
+        assert!(!memory.heard(&wait(1)));
+        assert_eq!(unsure(&memory), ["resolve"]);
+        // The next call would else be answered with the reply to this one.
+        assert!(memory.heard(&wait(2)));
+        memory.send(Command::Stub { uid: uid(), pos: 2 }, &mut out);
+        memory.send(Command::Break { uid: uid() }, &mut out);
+        assert_eq!(unsure(&memory), ["stub", "break"]);
+        assert!(memory.heard(&wait(3)));
+        assert_eq!(unsure(&memory), ["break"], "an order to stop is still meant");
+        assert!(memory.heard(&Message::Value { pos: 4, uid: uid(), end: RunEnd::Stopped }));
+        assert!(unsure(&memory).is_empty());
+    }
+
+    #[test]
+    fn gauges_vouch_for_the_commands_before_them_only() {
+        let (mut memory, mut out) = (Memory::default(), Vec::new());
+        memory.send(Command::Break { uid: uid() }, &mut out);
+        memory.send(Command::Gauges { tag: 7 }, &mut out);
+        memory.send(Command::Stub { uid: uid(), pos: 1 }, &mut out);
+        let line = String::from_utf8(out).unwrap();
+        assert!(line.contains(r#""echo":"7-1""#), "{line}");
+        memory.heard(&Message::Gauges { tag: 7, vouches: 1, readings: vec![] });
+        assert_eq!(unsure(&memory), ["stub"]);
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -32,7 +32,8 @@
                     _ = interrupt.recv() => {}
                 }
             };
-            server::run(config, Clock::System, listener, leave).await
+            server::run(config, Clock::System, listener, leave).await;
+            Ok::<(), io::Error>(())
         })
     };
     match run() {
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -5,7 +5,6 @@
 use crate::engine::{self, Engine, Idle, Input, Ways};
 use crate::fastcgi::connection::{Front, accept};
 use crate::{database, directory, interpreter, log};
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -21,15 +20,7 @@
 const QUIET: Duration = Duration::from_millis(100);
 
 /// Runs a nodo on a listener until it is told to leave and has left. Needs to run in a local set.
-///
-/// # Errors
-/// None yet; the signature leaves room for a start that fails.
-pub async fn run(
-    config: Config,
-    clock: Clock,
-    listener: TcpListener,
-    leave: impl Future<Output = ()>,
-) -> io::Result<()> {
+pub async fn run(config: Config, clock: Clock, listener: TcpListener, leave: impl Future<Output = ()>) {
     let (engine_in, engine_out) = mpsc::channel(engine::QUEUE);
     let (commands_in, commands_out) = mpsc::channel(interpreter::QUEUE);
     let (calls_in, calls_out) = mpsc::channel(engine::CALLS);
@@ -74,7 +65,6 @@
     };
     let left_over = timeout_at(end, all_ended).await.is_err();
     log!("{} leaves{}", config.name, if left_over { " with connections open" } else { "" });
-    Ok(())
 }
 
 /// Waits until nothing has been owed for a while.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -187,7 +187,7 @@
     pub directory: Option<Peer>,
     pub link: Peer,
     pub leave: Option<oneshot::Sender<()>>,
-    pub done: JoinHandle<std::io::Result<()>>,
+    pub done: JoinHandle<()>,
 }
 
 impl Nodo {
--- a/node/tests/nodo.rs
+++ b/node/tests/nodo.rs
@@ -209,7 +209,7 @@
         assert!(answer.contains("\r\nX-Pushback-Ms: 1000\r\n"), "{answer}");
         nodo.link.send(value(1, &uid, "OK", "eWVz")).await;
         assert!(balancer.answer().await.unwrap().1.ends_with("\r\n\r\nyes"));
-        assert!(nodo.done.await.unwrap().is_ok());
+        nodo.done.await.unwrap();
         assert_eq!(balancer.record().await, None);
         assert!(TcpStream::connect(nodo.address).await.is_err());
     });
