--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -15,10 +15,11 @@
 const MIN_MEMORY_MB: f64 = 32.0;
 const MIN_SOCKETS: f64 = 128.0;
 
-/// The part of the memory limit that kept results and keys may take, that of requests not read whole, and that
-/// of answers not written yet. The rest is for the program, its read buffers and the requests in hand.
-const KEPT_PART: usize = 4;
-const PARTIAL_PART: usize = 6;
+/// The part of the memory limit that kept results and keys may take, that of requests that are read or held, and
+/// that of answers not written yet. The other half is for the program and its read buffers, a record's length for
+/// each connection: 62 MB at 1,024 descriptors.
+const KEPT_PART: usize = 6;
+const REQUESTS_PART: usize = 6;
 const UNWRITTEN_PART: usize = 6;
 /// Descriptors for what is not a balancer's connection: standard streams, the runtime, the listener, the
 /// interpreter, the directory, and the calls to the database.
@@ -58,8 +59,8 @@
     pub calls: usize,
     /// Bytes of keys and kept results.
     pub kept: usize,
-    /// Bytes of requests that are not read whole.
-    pub partial: usize,
+    /// Bytes of requests, from their reading to their answer.
+    pub requests: usize,
     /// Bytes of answers that are not written yet.
     pub unwritten: usize,
 }
@@ -142,7 +143,7 @@
             connections: sockets - OTHER_SOCKETS,
             calls: CALL_SOCKETS,
             kept: memory / KEPT_PART,
-            partial: memory / PARTIAL_PART,
+            requests: memory / REQUESTS_PART,
             unwritten: memory / UNWRITTEN_PART,
         },
     })
--- a/node/src/fastcgi/connection.rs
+++ b/node/src/fastcgi/connection.rs
@@ -38,8 +38,8 @@
     pub settings: Settings,
     /// The names in the settings.
     pub names: Names,
-    /// Bytes of requests that are not read whole.
-    pub partial: Budget,
+    /// Bytes of requests, from their reading to their answer.
+    pub held: Budget,
     /// Bytes of answers that are not written.
     pub unwritten: Budget,
     /// Connections open at once, at most.
@@ -104,7 +104,7 @@
             engine,
             settings: config.settings.clone(),
             names: config.names.clone(),
-            partial: Budget::new(config.bounds.partial),
+            held: Budget::new(config.bounds.requests),
             unwritten: Budget::new(config.bounds.unwritten),
             most: config.bounds.connections,
             idle,
@@ -161,7 +161,7 @@
     fn new(stream: TcpStream, peer: SocketAddr, front: Rc<Front>) -> Connection {
         // Room for a reply to every request that may be open: handing one over never waits.
         let (reply_to, replies) = mpsc::channel(MAX_OPEN);
-        let requests = Requests::new(front.partial.clone());
+        let requests = Requests::new(front.held.clone());
         let now = Instant::now();
         Connection {
             stream,
--- a/node/src/fastcgi/requests.rs
+++ b/node/src/fastcgi/requests.rs
@@ -75,6 +75,9 @@
     body_ended: bool,
     oversize: bool,
     whole: bool,
+    /// Bytes taken from the budget. They stay booked until the request is answered, since what was read of it is
+    /// held until then.
+    booked: usize,
 }
 
 /// The requests that are open on one connection.
@@ -107,7 +110,7 @@
     /// A request was answered; whether the connection is to be closed after it.
     pub fn close(&mut self, id: u16) -> bool {
         let Some(open) = self.open.remove(&id) else { return false };
-        self.budget.give(open.params.len() + open.body.len());
+        self.budget.give(open.booked);
         !open.keep_conn
     }
 
@@ -133,15 +136,14 @@
             }
             kind::PARAMS if !open.params_ended => {
                 open.params_ended = record.content.is_empty();
-                let fits =
-                    grow(&mut open.params, record.content, MAX_PARAMS, &mut open.oversize, &self.budget);
+                let fits = open.grow(|open| &mut open.params, record.content, MAX_PARAMS, &self.budget);
                 if !fits {
                     return Ok(self.overloaded(record.id, out));
                 }
             }
             kind::STDIN if !open.body_ended => {
                 open.body_ended = record.content.is_empty();
-                let fits = grow(&mut open.body, record.content, MAX_BODY, &mut open.oversize, &self.budget);
+                let fits = open.grow(|open| &mut open.body, record.content, MAX_BODY, &self.budget);
                 if !fits {
                     return Ok(self.overloaded(record.id, out));
                 }
@@ -153,7 +155,6 @@
         }
         open.whole = true;
         let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
-        self.budget.give(params.len() + body.len());
         let params = if open.oversize { None } else { Some(params) };
         Ok(Step::Whole(Whole { id: record.id, params, body }))
     }
@@ -180,6 +181,7 @@
             body_ended: false,
             oversize: false,
             whole: false,
+            booked: 0,
         };
         self.open.insert(record.id, open);
         Ok(Step::Nothing)
@@ -194,25 +196,34 @@
 
 impl Drop for Requests {
     fn drop(&mut self) {
-        let bytes = self.open.values().map(|open| open.params.len() + open.body.len()).sum();
+        let bytes = self.open.values().map(|open| open.booked).sum();
         self.budget.give(bytes);
     }
 }
 
-/// Appends to a part of a request. Beyond its bound the part is dropped and only the rest of the request is waited
-/// for, since the connection lives on. Whether the budget had room.
-fn grow(part: &mut Vec<u8>, more: &[u8], most: usize, oversize: &mut bool, budget: &Budget) -> bool {
-    if *oversize || part.len() + more.len() > most {
-        *oversize = true;
-        budget.give(part.len());
-        *part = Vec::new();
-        return true;
-    }
-    let fits = budget.take(more.len());
-    if fits {
-        part.extend(more);
+impl Open {
+    /// Appends to a part of a request. Beyond its bound both parts are dropped and only the end of the request is
+    /// waited for, since the connection lives on. Whether the budget had room.
+    fn grow(
+        &mut self,
+        part: fn(&mut Open) -> &mut Vec<u8>,
+        more: &[u8],
+        most: usize,
+        budget: &Budget,
+    ) -> bool {
+        if self.oversize || part(self).len() + more.len() > most {
+            self.oversize = true;
+            (self.params, self.body) = (Vec::new(), Vec::new());
+            budget.give(std::mem::take(&mut self.booked));
+            return true;
+        }
+        let fits = budget.take(more.len());
+        if fits {
+            self.booked += more.len();
+            part(self).extend(more);
+        }
+        fits
     }
-    fits
 }
 
 /// Answers a management record.
--- a/node/tests/parsers.rs
+++ b/node/tests/parsers.rs
@@ -171,6 +171,15 @@
     assert_eq!(answers(&mut requests, &bytes), [(kind::END_REQUEST, 2, overloaded)]);
     drop(requests);
     assert!(budget.take(1000) && !budget.take(1));
+    // A whole request counts until it is answered, and one that is over its size no longer.
+    let budget = Budget::new(10_000);
+    let mut requests = Requests::new(budget.clone());
+    let oversize = request(2, 2, "read", &[], &[0; 3000]);
+    assert!(answers(&mut requests, &[request(1, 1, "read", &[], &[0; 2000]), oversize].concat()).is_empty());
+    assert!(!budget.take(8000) && budget.take(7000));
+    requests.close(1);
+    requests.close(2);
+    assert!(budget.take(3000) && !budget.take(1));
 }
 
 #[test]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -600,7 +600,7 @@
     fn in_time(&self, l: &Live, start: f64) -> bool {
         let parked = self.learned[l.request.class].parked.unwrap_or(0.0);
         let needs = self.expected(l.request.class, l.request.cost_hint) + parked;
-        let end = if l.lane % 2 == 0 { l.aim } else { l.last_use };
+        let end = if l.lane.is_multiple_of(2) { l.aim } else { l.last_use };
         start + START_MARGIN * needs <= end
     }
 
@@ -625,7 +625,7 @@
     /// Too late for its aim: it may still earn as a late one, else it is turned away.
     fn demote(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let l = &self.ledger.live[&id];
-        if l.lane % 2 == 0 && l.last_use > l.aim {
+        if l.lane.is_multiple_of(2) && l.last_use > l.aim {
             let lane = l.lane + 1;
             self.ledger.change_lane(id, lane);
         } else if l.ran {
