Read the file again on SIGHUP and move link, pool and reports

Cause: main.rs installed no handler for SIGHUP, whose default ends the process. Ruled out: a panic (the logs end without a line).

Now main.rs reads the file again through config; vm, db and lookup go to the parts by a watch channel, the rest that differs is named and ignored. The link moves between two of its waits, so that a notice taken off the old link is never dropped on the way to the engine, and a link that was up is made anew at once (before: after 100 ms).

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -34,12 +34,8 @@
     pub name: String,
     /// Where balancers connect.
     pub listen: SocketAddr,
-    /// The interpreter.
-    pub interpreter: SocketAddr,
-    /// The directory.
-    pub directory: SocketAddr,
-    /// The database.
-    pub database: SocketAddr,
+    /// Where the others are.
+    pub peers: Peers,
     /// From the notice to leave to the kill.
     pub stop: Duration,
     /// What the module is told.
@@ -50,8 +46,19 @@
     pub bounds: Bounds,
 }
 
+/// Where those are that a nodo works with. These addresses may change while it runs; all else stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peers {
+    /// The interpreter.
+    pub interpreter: SocketAddr,
+    /// The directory.
+    pub directory: SocketAddr,
+    /// The database.
+    pub database: SocketAddr,
+}
+
 /// Bounds on memory and descriptors.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
     /// Balancers' connections open at once.
     pub connections: usize,
@@ -133,9 +140,11 @@
     Ok(Config {
         name,
         listen: address(&listen_key, &listen)?,
-        interpreter: address("vm", &text_of(object, "vm")?)?,
-        directory: address("lookup", &text_of(object, "lookup")?)?,
-        database: address("db", &text_of(object, "db")?)?,
+        peers: Peers {
+            interpreter: address("vm", &text_of(object, "vm")?)?,
+            directory: address("lookup", &text_of(object, "lookup")?)?,
+            database: address("db", &text_of(object, "db")?)?,
+        },
         stop: Duration::from_secs_f64(stop_ms / 1000.0),
         settings,
         names,
@@ -149,6 +158,21 @@
     })
 }
 
+impl Config {
+    /// The keys, other than those of the peers, in which a configuration that was read anew differs from this one. A
+    /// nodo that runs keeps to what it started with there.
+    pub fn kept_keys(&self, new: &Config) -> Vec<&'static str> {
+        let keys = [
+            ("name", self.name == new.name),
+            ("listen", self.listen == new.listen),
+            ("stop_ms", self.stop == new.stop),
+            ("limits", self.bounds == new.bounds),
+            ("settings", self.settings == new.settings && self.names == new.names),
+        ];
+        keys.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
+    }
+}
+
 fn text_of(object: &HashMap<String, JsonValue>, key: &str) -> Result<String, ConfigError> {
     match object.get(key) {
         Some(JsonValue::String(text)) => Ok(text.clone()),
--- a/node/src/database.rs
+++ b/node/src/database.rs
@@ -1,5 +1,6 @@
 //! Calls to the database that all nodos share.
 
+use crate::config::Peers;
 use crate::engine::Input;
 use crate::http;
 use crate::socket;
@@ -9,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, timeout};
 
 /// An idle connection is used again only within this time. The database closes them after 10 s, and a call that
@@ -48,16 +49,28 @@
     idle: Vec<(Instant, TcpStream)>,
 }
 
-/// Makes the calls that come in, each in a task of its own and at most `most` at once, until no more can come.
+/// Makes the calls that come in, each in a task of its own and at most `most` at once, until no more can come. When
+/// the database moves, calls under way may end where they are.
 pub async fn make_calls(
-    address: SocketAddr,
+    mut peers: watch::Receiver<Peers>,
     most: usize,
     engine: mpsc::Sender<Input>,
     mut calls: mpsc::Receiver<Call>,
 ) {
+    let address = peers.borrow_and_update().database;
     let pool = Rc::new(RefCell::new(Pool { address, idle: Vec::new() }));
     let room = Rc::new(Semaphore::new(most));
-    while let Some(call) = calls.recv().await {
+    loop {
+        let call = tokio::select! {
+            // A call that comes behind a move goes to the new address.
+            biased;
+            Ok(()) = peers.changed() => {
+                pool.borrow_mut().move_to(peers.borrow_and_update().database);
+                continue;
+            }
+            call = calls.recv() => call,
+        };
+        let Some(call) = call else { return };
         let (pool, room, engine) = (pool.clone(), room.clone(), engine.clone());
         tokio::task::spawn_local(async move {
             let Call { id, number, uid, body, give_up_after, mut given_up } = call;
@@ -85,11 +98,13 @@
     let failed = |outcome| CallEnd { outcome, body: Vec::new() };
     let exchange = async {
         let Ok(_permit) = room.acquire().await else { return failed(Outcome::Unreachable) };
-        let reused = pool.borrow_mut().take();
+        let (address, reused) = {
+            let mut pool = pool.borrow_mut();
+            (pool.address, pool.take())
+        };
         let mut stream = match reused {
             Some(stream) => stream,
             None => {
-                let address = pool.borrow().address;
                 match TcpStream::connect(address).await {
                     Ok(stream) => stream,
                     // Without a connection nothing can have run.
@@ -101,7 +116,7 @@
         match http::call(&mut stream, &request(uid, body, give_up_after)).await {
             Ok(reply) => {
                 if http::reusable(&reply) {
-                    pool.borrow_mut().idle.push((Instant::now(), stream));
+                    pool.borrow_mut().put_back(address, stream);
                 }
                 CallEnd { outcome: outcome(&reply), body: reply.body }
             }
@@ -118,6 +133,20 @@
         self.idle.retain(|(since, stream)| now.duration_since(*since) < IDLE && socket::silent(stream));
         self.idle.pop().map(|(_, stream)| stream)
     }
+
+    /// Keeps a connection to this address for another call, unless the database has moved meanwhile.
+    fn put_back(&mut self, address: SocketAddr, stream: TcpStream) {
+        if address == self.address {
+            self.idle.push((Instant::now(), stream));
+        }
+    }
+
+    /// The database has moved: what is idle at its old address takes no more calls.
+    fn move_to(&mut self, address: SocketAddr) {
+        if address != self.address {
+            (self.address, self.idle) = (address, Vec::new());
+        }
+    }
 }
 
 /// The bytes of a call.
--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -1,5 +1,6 @@
 //! Reports to the directory, from which balancers learn of this nodo.
 
+use crate::config::Peers;
 use crate::http;
 use crate::log;
 use crate::socket;
@@ -26,13 +27,18 @@
     Closed,
 }
 
-/// Reports the mode about once a second and at each change, through outages too; nothing while there is none yet.
-/// Ends when the mode can no longer change.
-pub async fn report(address: SocketAddr, name: &str, mut mode: watch::Receiver<Option<Mode>>) {
+/// Reports the mode about once a second and at each change, of the directory's address too, through outages; nothing
+/// while there is none yet. Ends when the mode can no longer change.
+pub async fn report(mut peers: watch::Receiver<Peers>, name: &str, mut mode: watch::Receiver<Option<Mode>>) {
     let mut stream = None;
     let mut fails = false;
+    let mut address = peers.borrow().directory;
     loop {
         let told = *mode.borrow_and_update();
+        let now_at = peers.borrow_and_update().directory;
+        if now_at != address {
+            (address, stream) = (now_at, None);
+        }
         let mut next = Instant::now() + REPORT_EVERY;
         if let Some(told) = told {
             let sent = timeout(REPORT_TIMEOUT, put(address, name, told, stream.take())).await;
@@ -53,6 +59,7 @@
         tokio::select! {
             () = sleep_until(next) => {}
             changed = mode.changed() => if changed.is_err() { return },
+            Ok(()) = peers.changed() => {}
         }
     }
 }
--- a/node/src/interpreter.rs
+++ b/node/src/interpreter.rs
@@ -4,6 +4,7 @@
 //! [`Command::Gauges`] vouches for all before it. After a break the link first hears all that it missed, and then
 //! sends again what may not have arrived and still makes sense.
 
+use crate::config::Peers;
 use crate::engine::Input;
 use crate::log;
 use base64::Engine as _;
@@ -16,15 +17,17 @@
 use tinyjson::JsonValue;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The longest line that is read: a result of 4 KiB in base64, with room to spare.
 const MAX_LINE: usize = 64 * 1024;
 /// Arrays and objects in one line. The parser of JSON goes down into each, so their number bounds its stack.
 const MAX_NESTED: usize = 64;
-/// Between attempts to connect.
+/// Between attempts to connect. A link that was up for so long is made anew at once.
 const RECONNECT: Duration = Duration::from_millis(100);
+/// For one attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Asks for the gauges to learn when all that was missed has been heard; the engine's tags begin at 1.
 const CATCH_UP: Command = Command::Gauges { tag: 0 };
 /// Commands that wait to be sent.
@@ -285,22 +288,27 @@
     }
 }
 
-/// Keeps the link to the interpreter. What it tells goes to the engine, what the engine wants comes from `commands`.
-/// Ends when the engine does.
+/// Keeps the link to the interpreter, also when that moves. What it tells goes to the engine, what the engine wants
+/// comes from `commands`. Ends when the engine does.
 pub async fn keep_link(
-    address: SocketAddr,
+    mut peers: watch::Receiver<Peers>,
     engine: mpsc::Sender<Input>,
     mut commands: mpsc::Receiver<Command>,
 ) {
     let mut memory = Memory::default();
     let mut known_down = false;
     loop {
-        let ended = match TcpStream::connect(address).await {
-            Ok(stream) => {
+        let address = peers.borrow_and_update().interpreter;
+        let began = Instant::now();
+        let ended = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => {
                 known_down = false;
-                Link::new(stream, &engine).converse(&mut memory, &mut commands).await
+                Link::new(stream, &engine)
+                    .converse(&mut memory, &mut commands, moved(&mut peers, address))
+                    .await
             }
-            Err(e) => Err(e),
+            Ok(Err(e)) => Err(e),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
         };
         if engine.is_closed() || engine.send(Input::LinkDown).await.is_err() {
             return;
@@ -311,7 +319,17 @@
             log!("interpreter: no link to {address}: {e}");
             known_down = true;
         }
-        sleep(RECONNECT).await;
+        if began.elapsed() < RECONNECT {
+            sleep(RECONNECT).await;
+        }
+    }
+}
+
+/// Returns once the interpreter is elsewhere.
+async fn moved(peers: &mut watch::Receiver<Peers>, address: SocketAddr) {
+    if peers.wait_for(|peers| peers.interpreter != address).await.is_err() {
+        // It can move no more.
+        std::future::pending().await
     }
 }
 
@@ -332,13 +350,16 @@
         &mut self,
         memory: &mut Memory,
         commands: &mut mpsc::Receiver<Command>,
+        moved: impl Future<Output = ()>,
     ) -> io::Result<()> {
+        let mut moved = std::pin::pin!(moved);
         self.output.extend(message("CONNECT", [("pos", number(memory.pos))]).into_bytes());
         let mut caught_up = false;
         loop {
             let (mut reader, mut writer) = self.stream.split();
             tokio::select! {
                 biased;
+                () = &mut moved => return Err(io::Error::other("it has moved")),
                 read = reader.read_buf(&mut self.input) => {
                     if read? == 0 {
                         return Err(io::ErrorKind::UnexpectedEof.into());
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -7,10 +7,15 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::LocalSet;
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
 
 fn main() -> ExitCode {
-    let config = match config::load(|name| std::env::var(name).ok()) {
+    let config = match config::load(variable) {
         Ok(config) => config,
         Err(e) => {
             log!("configuration: {e}");
@@ -23,6 +28,7 @@
         LocalSet::new().block_on(&runtime, async {
             let mut terminate = signal(SignalKind::terminate())?;
             let mut interrupt = signal(SignalKind::interrupt())?;
+            let mut hangup = signal(SignalKind::hangup())?;
             let listener = TcpListener::bind(config.listen)
                 .await
                 .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
@@ -32,7 +38,14 @@
                     _ = interrupt.recv() => {}
                 }
             };
-            server::run(config, Clock::System, listener, leave).await;
+            let (moves, peers) = watch::channel(config.peers);
+            let running = config.clone();
+            spawn_local(async move {
+                while hangup.recv().await.is_some() {
+                    server::reload(&running, config::load(variable), &moves);
+                }
+            });
+            server::run(config, Clock::System, listener, peers, leave).await;
             Ok::<(), io::Error>(())
         })
     };
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,7 +1,7 @@
 //! Puts the parts together, and takes them apart again when the nodo leaves.
 
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, ConfigError, Peers};
 use crate::engine::{self, Engine, Idle, Input, Ways};
 use crate::fastcgi::connection::{Front, accept};
 use crate::{database, directory, interpreter, log};
@@ -19,8 +19,33 @@
 /// A nodo that owes nothing waits so long for what may still be on its way before it closes its connections.
 const QUIET: Duration = Duration::from_millis(100);
 
-/// Runs a nodo on a listener until it is told to leave and has left. Needs to run in a local set.
-pub async fn run(config: Config, clock: Clock, listener: TcpListener, leave: impl Future<Output = ()>) {
+/// Takes up what may change in a nodo that runs, from a configuration that was read anew. One that cannot be used
+/// changes nothing.
+pub fn reload(running: &Config, read: Result<Config, ConfigError>, moves: &watch::Sender<Peers>) {
+    let new = match read {
+        Ok(new) => new,
+        Err(e) => return log!("configuration: {e}; the one before stays in force"),
+    };
+    let moved = moves.send_if_modified(|peers| std::mem::replace(peers, new.peers) != new.peers);
+    let kept = running.kept_keys(&new);
+    let what = if moved { "new addresses are in use" } else { "no address has changed" };
+    let ignored = if kept.is_empty() {
+        String::new()
+    } else {
+        format!("; ignored until a restart: {}", kept.join(", "))
+    };
+    log!("configuration read again: {what}{ignored}");
+}
+
+/// Runs a nodo on a listener until it is told to leave and has left. Needs to run in a local set. The addresses in
+/// `peers` take the place of those in `config`.
+pub async fn run(
+    config: Config,
+    clock: Clock,
+    listener: TcpListener,
+    peers: watch::Receiver<Peers>,
+    leave: impl Future<Output = ()>,
+) {
     let (engine_in, engine_out) = mpsc::channel(engine::QUEUE);
     let (commands_in, commands_out) = mpsc::channel(interpreter::QUEUE);
     let (calls_in, calls_out) = mpsc::channel(engine::CALLS);
@@ -36,10 +61,10 @@
         owed: owed_in,
     };
     spawn_local(Engine::new(&config, clock, ways).run(engine_out));
-    spawn_local(interpreter::keep_link(config.interpreter, engine_in.clone(), commands_out));
-    spawn_local(database::make_calls(config.database, config.bounds.calls, engine_in.clone(), calls_out));
+    spawn_local(interpreter::keep_link(peers.clone(), engine_in.clone(), commands_out));
+    spawn_local(database::make_calls(peers.clone(), config.bounds.calls, engine_in.clone(), calls_out));
     let name = config.name.clone();
-    spawn_local(async move { directory::report(config.directory, &name, mode_out).await });
+    spawn_local(async move { directory::report(peers, &name, mode_out).await });
     let front = Rc::new(Front::new(&config, engine_in.clone(), idle_out));
     let (close, closed) = oneshot::channel::<()>();
     let accepting = spawn_local(accept(listener, front.clone(), async {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -2,14 +2,14 @@
 #![allow(dead_code)]
 
 use jaspershunt_node::clock::Clock;
-use jaspershunt_node::config::{self, Config};
+use jaspershunt_node::config::{self, Config, Peers};
 use jaspershunt_node::fastcgi::records::{self, kind, put_pair, put_record};
 use jaspershunt_node::server;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
 pub const SETTINGS: &str = concat!(
@@ -44,6 +44,11 @@
     LocalSet::new().block_on(&runtime, bounded);
 }
 
+/// The address as that of every party.
+pub fn all_at(address: SocketAddr) -> Peers {
+    Peers { interpreter: address, directory: address, database: address }
+}
+
 pub async fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -186,6 +191,7 @@
     pub database: TcpListener,
     pub directory: Option<Peer>,
     pub link: Peer,
+    pub moves: watch::Sender<Peers>,
     pub leave: Option<oneshot::Sender<()>>,
     pub done: JoinHandle<()>,
 }
@@ -208,11 +214,15 @@
         let (lookup, directory) = listener().await;
         let (leave, told) = oneshot::channel();
         let config = config(address, vm, directory, db);
-        let done = spawn_local(server::run(config, Clock::System, front, async {
+        let (moves, peers) = watch::channel(config.peers);
+        let done = spawn_local(server::run(config, Clock::System, front, peers, async {
             let _ = told.await;
         }));
         let link = Peer::accept(&interpreter).await;
-        (Nodo { address, interpreter, database, directory: None, link, leave: Some(leave), done }, lookup)
+        (
+            Nodo { address, interpreter, database, directory: None, link, moves, leave: Some(leave), done },
+            lookup,
+        )
     }
 
     /// Takes a report to the directory.
--- a/node/tests/nodo.rs
+++ b/node/tests/nodo.rs
@@ -4,6 +4,8 @@
 use common::*;
 use jaspershunt_node::engine::Idle;
 use jaspershunt_node::fastcgi::connection::{Front, accept};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -151,6 +153,52 @@
     });
 }
 
+/// On SIGHUP the program reads its file again: a faulty one changes nothing, a good one moves the link, and what was
+/// not confirmed on the old one is sent again.
+#[test]
+fn sighup_moves_what_the_file_says_and_never_ends_the_program() {
+    local(async {
+        let (front, address) = listener().await;
+        let (here, vm) = listener().await;
+        let (elsewhere, new_vm) = listener().await;
+        let (directory, lookup) = listener().await;
+        drop(front);
+        let text = |vm: SocketAddr| {
+            config_text(&address.to_string(), &vm.to_string(), &lookup.to_string(), &lookup.to_string())
+        };
+        let path =
+            std::env::temp_dir().join(format!("jaspershunt-{}-{}.json", std::process::id(), vm.port()));
+        std::fs::write(&path, text(vm)).unwrap();
+        let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_jaspershunt"))
+            .env("NODE_CONFIG", &path)
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(program.stderr.take().unwrap()).lines();
+        let mut told =
+            |what: &str| lines.by_ref().map(Result::unwrap).find(|line| line.contains(what)).unwrap();
+        let hang_up = || {
+            let sent = std::process::Command::new("kill").args(["-HUP", &program.id().to_string()]).status();
+            assert!(sent.unwrap().success());
+        };
+        let mut link = Peer::accept(&here).await;
+        catch_up(&mut link, 0, &value(1, "00000000000000ff", "OK", "")).await;
+        // Reported once the interpreter is up.
+        assert!(Peer::accept(&directory).await.http().await.ends_with(r#"{"mode":"open"}"#));
+        std::fs::write(&path, text(new_vm).replace(r#""db""#, r#""database""#)).unwrap();
+        hang_up();
+        told("configuration: db is missing; the one before stays in force");
+        std::fs::write(&path, text(new_vm).replace("3200", "3300")).unwrap();
+        hang_up();
+        told("new addresses are in use; ignored until a restart: stop_ms");
+        let mut link = Peer::accept(&elsewhere).await;
+        catch_up(&mut link, 1, "").await;
+        std::fs::remove_file(&path).unwrap();
+        program.kill().unwrap();
+        program.wait().unwrap();
+    });
+}
+
 /// The interpreter may come up long after the nodo, and turns away whatever comes before: commands, if they waited for
 /// an answer to an early question, would never be sent.
 #[test]
--- a/node/tests/peers.rs
+++ b/node/tests/peers.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use jaspershunt::{Outcome, RequestId};
-use jaspershunt_node::config;
+use jaspershunt_node::config::{self, Peers};
 use jaspershunt_node::database::{Call, CallEnd, make_calls};
 use jaspershunt_node::directory::{Mode, report};
 use jaspershunt_node::engine::Input;
@@ -17,14 +17,16 @@
     calls: mpsc::Sender<Call>,
     inputs: mpsc::Receiver<Input>,
     number: u64,
+    moves: watch::Sender<Peers>,
 }
 
 impl Pool {
     fn new(address: SocketAddr) -> Pool {
         let (engine, inputs) = mpsc::channel(10);
         let (calls, out) = mpsc::channel(10);
-        spawn_local(make_calls(address, 4, engine, out));
-        Pool { calls, inputs, number: 0 }
+        let (moves, peers) = watch::channel(all_at(address));
+        spawn_local(make_calls(peers, 4, engine, out));
+        Pool { calls, inputs, number: 0, moves }
     }
 
     async fn call(&mut self, give_up_after: Duration) -> oneshot::Sender<()> {
@@ -121,7 +123,8 @@
     local(async {
         let (listener, address) = listener().await;
         let (mode, seen) = watch::channel(None);
-        spawn_local(async move { report(address, "n3", seen).await });
+        let (moves, peers) = watch::channel(all_at(address));
+        spawn_local(async move { report(peers, "n3", seen).await });
         mode.send_replace(Some(Mode::Open));
         let mut directory = Peer::accept(&listener).await;
         let text = directory.http().await;
@@ -133,6 +136,36 @@
         drop(directory);
         let mut directory = Peer::accept(&listener).await;
         assert!(directory.http().await.ends_with(r#"{"mode":"closed"}"#));
+        directory.send("HTTP/1.1 204 No Content\r\n\r\n").await;
+        // A directory that has moved hears at once, and the old one nothing more.
+        let (elsewhere, address) = common::listener().await;
+        moves.send_replace(all_at(address));
+        assert!(Peer::accept(&elsewhere).await.http().await.ends_with(r#"{"mode":"closed"}"#));
+        assert_eq!(directory.line().await, None);
+    });
+}
+
+#[test]
+fn calls_under_way_end_at_the_old_address_and_later_ones_go_to_the_new() {
+    local(async {
+        let (listener, address) = listener().await;
+        let (elsewhere, new_address) = common::listener().await;
+        let mut pool = Pool::new(address);
+        let _open = pool.call(LONG).await;
+        let mut old = Peer::accept(&listener).await;
+        old.http().await;
+        pool.moves.send_replace(all_at(new_address));
+        old.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrows").await;
+        assert_eq!(pool.end().await.body, b"rows");
+        assert_eq!(old.line().await, None);
+        let _open = pool.call(LONG).await;
+        let mut new = Peer::accept(&elsewhere).await;
+        new.http().await;
+        // Nor does a connection that was idle when the database moved serve again.
+        new.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+        assert_eq!(pool.end().await.outcome, Outcome::Done);
+        pool.moves.send_replace(all_at(address));
+        assert_eq!(new.line().await, None);
     });
 }
 
@@ -144,6 +177,14 @@
     assert_eq!((read.name.as_str(), read.stop), ("n3", Duration::from_millis(3200)));
     let told = |name: &str| (name == "NODE_LISTEN").then(|| "127.0.0.9:9".to_string());
     assert_eq!(config::read(&good, told).unwrap().listen.to_string(), "127.0.0.9:9");
+    // What a nodo that runs cannot take up is named too.
+    let moved = good
+        .replace("127.0.0.1:3", "127.0.0.1:9")
+        .replace("3200", "3300")
+        .replace(r#""worth":3"#, r#""worth":4"#);
+    let moved = config::read(&moved, none).unwrap();
+    assert_eq!(moved.peers.directory.port(), 9);
+    assert_eq!(read.kept_keys(&moved), ["stop_ms", "settings"]);
     let cases = [
         (r#""vm":"127.0.0.1:2","#, "", "vm is missing"),
         (r#""db":"127.0.0.1:4""#, r#""db":"nowhere""#, "db must be an IP address with a port"),
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -7,7 +7,7 @@
 use tinyjson::JsonValue;
 
 /// The names that later messages use.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Names {
     classes: Vec<String>,
     tenants: Vec<String>,
