Refuse a key that comes with another body, and figures and tenants that make no sense

Cause: keys.rs knew tries by their key alone, so a stranger who named a known key was a repeat and got the kept result (engine.rs, follow). Ruled out: ids still open (refused already) and ids that the interpreter does not know (it rejects them, counted in the logs).

Now a key is known with a print of its class and body; another body gets 400. A run that the interpreter rejected never ran, so it no longer uses up its key, here nor in the module's table. Unknown tenants, estimates over an hour and times of arrival in the future or a minute beyond the deadline get 400 (before: none, taken as they were, clamped).

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -9,7 +9,7 @@
 use crate::database::{self, CallEnd};
 use crate::directory::Mode;
 use crate::interpreter::{Command, Message, RunEnd};
-use crate::keys::{Full, Keys, Run};
+use crate::keys::{Keys, NotTaken, Run, print};
 use crate::log;
 use crate::request::{Answer, Key, Reply, ReplyTo, Work};
 use jaspershunt::{Action, Controller, Event, Gauges, Halt, Outcome, Repeat, Request, RequestId, Settings};
@@ -34,6 +34,10 @@
 const STOP_AHEAD: f64 = 0.1;
 /// Seconds that a key is remembered beyond its window: the rule allows the window's end 50 ms, and the same again.
 const WINDOW_SLACK: f64 = 0.1;
+/// Seconds by which the time of a request's arrival may be ahead, as clocks are never quite alike.
+const AHEAD: f64 = 1.0;
+/// Seconds beyond its deadline that a request may have waited before it is read; more makes no sense.
+const BEHIND: f64 = 60.0;
 /// The module's clock shows this at the start, so that the start of the interpreter is not before 0.
 const CLOCK_START: f64 = 1e5;
 
@@ -316,23 +320,32 @@
             reply.send(Reply { answer: Answer::Bad, say });
             return;
         }
+        // A peer's word is taken only within what a request can have waited: the module learns from these times.
+        let arrived = work.arrived.map_or(self.now, |unix| unix - self.epoch);
+        let deadline = self.settings.classes[work.class].deadline;
+        if arrived > self.now + AHEAD || arrived < self.now - deadline - BEHIND {
+            reply.send(Reply { answer: Answer::Bad, say });
+            return;
+        }
+        let arrived = arrived.max(self.now - deadline).min(self.now);
         let mut repeats = None;
         if let Some(key) = &work.key {
             let requests = &self.requests;
             let held = |id| requests.get(&id).is_some_and(|e| matches!(e.place, Place::Held) && !e.started);
-            match self.keys.arrived(key, id, self.now, held) {
+            match self.keys.arrived(key, print(work.class, &work.body), id, self.now, held) {
                 Ok(earlier) => repeats = earlier,
+                Err(NotTaken::OtherBody) => {
+                    reply.send(Reply { answer: Answer::Bad, say });
+                    return;
+                }
                 // What cannot be remembered cannot be kept from running twice.
-                Err(Full) => {
+                Err(NotTaken::Full) => {
                     let stay_away = self.settings.max_stay_away;
                     reply.send(Reply { answer: Answer::Refused { stay_away, last: false }, say });
                     return;
                 }
             }
         }
-        // A peer's word is taken only within what a request can have waited: the module learns from these times.
-        let earliest = self.now - self.settings.classes[work.class].deadline;
-        let arrived = work.arrived.map_or(self.now, |unix| (unix - self.epoch).max(earliest).min(self.now));
         self.events.push(Event::Arrived(Request {
             id,
             class: work.class,
@@ -442,6 +455,13 @@
                 if let Some(id) = self.by_uid.get(&uid).copied()
                     && command == "APPLY"
                 {
+                    // Guards against a request that the interpreter does not know, and which would keep its key from
+                    // the one that it belongs to.
+                    if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs())
+                        && let Some(key) = &entry.key
+                    {
+                        self.keys.never_ran(key, id);
+                    }
                     self.run_ended(id, RunEnd::NotStarted);
                 }
             }
--- a/node/src/engine/tests.rs
+++ b/node/src/engine/tests.rs
@@ -162,6 +162,37 @@
     });
 }
 
+/// Strangers name keys that they have seen: with another body they are served nothing, and a run that the interpreter
+/// knows nothing of does not use the key up.
+#[test]
+fn a_key_is_of_no_use_with_another_body() {
+    paused(async {
+        let mut rig = Rig::new();
+        let stranger = |rig: &Rig, id| match rig.work(id, 1, 0.0) {
+            Input::Work { id, mut work, reply } => {
+                work.body = vec![66];
+                Input::Work { id, work, reply }
+            }
+            other => other,
+        };
+        let first = stranger(&rig, 1);
+        rig.engine.round([first]);
+        let rejected = Message::Rejected { command: "APPLY".into(), uid: format!("{:016x}", 1).into() };
+        rig.engine.round([Input::Heard(rejected)]);
+        let work = rig.work(2, 1, 0.0);
+        rig.engine.round([work]);
+        let during = stranger(&rig, 3);
+        rig.engine.round([during]);
+        let end = rig.value(2, RunEnd::Done(vec![7]));
+        rig.engine.round([end]);
+        let after = stranger(&rig, 4);
+        rig.engine.round([after]);
+        assert_eq!(rig.commands(), ["apply 1", "apply 2"]);
+        let bad = |id| (id, Answer::Bad);
+        assert_eq!(rig.answers(), [(1, Answer::Failed), bad(3), (2, served(&[7])), bad(4)]);
+    });
+}
+
 #[test]
 fn tries_of_one_key_in_one_step_know_each_other() {
     paused(async {
@@ -293,16 +324,21 @@
 fn a_time_of_arrival_that_makes_no_sense_does_no_harm() {
     paused(async {
         let mut rig = Rig::new();
-        let future = rig.work(1, 0, -1e12);
-        rig.engine.round([future]);
-        assert_eq!(rig.commands(), ["apply 1"]);
-        let past = rig.work(2, 0, 1e12);
+        let strange =
+            [rig.work(1, 0, -2.0), rig.work(2, 0, -1e12), rig.work(3, 0, 70.0), rig.work(4, 0, 1e12)];
+        rig.engine.round(strange);
+        assert_eq!(rig.answers(), [1, 2, 3, 4].map(|id| (id, Answer::Bad)));
+        // A clock a little ahead, and a machine that stood for a while, are no fault of the balancer.
+        let ahead = rig.work(5, 0, -0.5);
+        rig.engine.round([ahead]);
+        assert_eq!(rig.commands(), ["apply 5"]);
+        let past = rig.work(6, 0, 30.0);
         rig.engine.round([past]);
-        assert!(matches!(rig.answers()[..], [(2, Answer::Refused { .. })]));
+        assert!(matches!(rig.answers()[..], [(6, Answer::Refused { .. })]));
         rig.until(1.5).await;
-        let end = rig.value(1, RunEnd::Done(vec![]));
-        let next = rig.work(3, 0, 0.0);
+        let end = rig.value(5, RunEnd::Done(vec![]));
+        let next = rig.work(7, 0, 0.0);
         rig.engine.round([end, next]);
-        assert_eq!(rig.commands(), ["apply 3"]);
+        assert_eq!(rig.commands(), ["apply 7"]);
     });
 }
--- a/node/src/keys.rs
+++ b/node/src/keys.rs
@@ -1,4 +1,5 @@
-//! Operation keys: which tries of a keyed request are known, which of them ran, and what the run made.
+//! Operation keys: which tries of a keyed request are known, which of them ran, and what the run made. All tries of one
+//! request carry the same body; one that names a known key with another body is no try of it.
 //!
 //! A record of a run stays for the whole window of its key, whatever became of the run, so that no second try is run
 //! within it. Results are kept beside it as long as there is room; the oldest go first.
@@ -6,6 +7,7 @@
 use crate::request::Key;
 use jaspershunt::RequestId;
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 
 /// What a record takes beside its key and result: the record, its places in both indexes, and their slack.
@@ -29,16 +31,31 @@
     run: Run,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Record {
+    /// What stands for the class and body that all tries share.
+    print: u64,
     /// The newest try that may run, while none ran.
     holder: Option<RequestId>,
     ran: Option<Ran>,
 }
 
-/// There is no room to remember another key.
+/// Why a try is not taken.
 #[derive(Debug, PartialEq, Eq)]
-pub struct Full;
+pub enum NotTaken {
+    /// There is no room to remember another key; without its record the try must not run.
+    Full,
+    /// The key is that of a request with another body.
+    OtherBody,
+}
+
+/// What stands for the body of a request and its class. Two bodies with the same print are taken for one; as the
+/// print has 64 bits, that happens to nobody who does not work for it.
+pub fn print(class: usize, body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (class, body).hash(&mut hasher);
+    hasher.finish()
+}
 
 /// The table of keys.
 #[derive(Debug)]
@@ -76,25 +93,31 @@
     /// held, as `held` tells. If there is none, this try is what later ones repeat.
     ///
     /// # Errors
-    /// There is no room for a new key; without its record the try must not run.
+    /// There is no room for a new key, or the try is none of the request that the key is known for.
     pub fn arrived(
         &mut self,
         key: &Key,
+        print: u64,
         id: RequestId,
         now: f64,
         held: impl Fn(RequestId) -> bool,
-    ) -> Result<Option<RequestId>, Full> {
+    ) -> Result<Option<RequestId>, NotTaken> {
         self.expire(now);
         if !self.records.contains_key(key) {
             let most = self.most;
             self.make_room(weight(key));
             if self.bytes + weight(key) > most {
-                return Err(Full);
+                return Err(NotTaken::Full);
             }
             self.bytes += weight(key);
-            self.records.insert(key.clone(), Record::default());
+            self.records.insert(key.clone(), Record { print, holder: None, ran: None });
+        }
+        let Some(record) = self.records.get_mut(key) else { return Err(NotTaken::Full) };
+        // Guards against a stranger to whom the result of someone else's request would be served, or who would have
+        // that request turned away as the older of two tries.
+        if record.print != print {
+            return Err(NotTaken::OtherBody);
         }
-        let Some(record) = self.records.get_mut(key) else { return Err(Full) };
         if let Some(ran) = &record.ran {
             return Ok(Some(ran.id));
         }
@@ -156,6 +179,15 @@
         };
     }
 
+    /// It is proven that this try, though started, never ran: it keeps no other from running.
+    pub fn never_ran(&mut self, key: &Key, id: RequestId) {
+        let Some(record) = self.records.get_mut(key) else { return };
+        if let Some(ran) = record.ran.take_if(|ran| ran.id == id && ran.run == Run::Running) {
+            self.ends.remove(&(ran.until, key.clone()));
+        }
+        self.drop_if_empty(key);
+    }
+
     /// Drops kept results, the oldest first, until there is room or none are left.
     fn make_room(&mut self, bytes: usize) {
         while self.bytes + bytes > self.most {
@@ -208,13 +240,13 @@
     fn a_run_is_known_for_its_window_whatever_became_of_it() {
         for made in [result(3), None] {
             let (mut keys, k) = (Keys::new(100_000), key("k"));
-            assert_eq!(keys.arrived(&k, RequestId(1), 1.0, |_| false), Ok(None));
+            assert_eq!(keys.arrived(&k, 7, RequestId(1), 1.0, |_| false), Ok(None));
             keys.started(&k, RequestId(1), 11.0);
             keys.ended(&k, RequestId(1), made.clone());
             keys.forget(&k, RequestId(1));
-            assert_eq!(keys.arrived(&k, RequestId(2), 10.9, |_| false), Ok(Some(RequestId(1))));
+            assert_eq!(keys.arrived(&k, 7, RequestId(2), 10.9, |_| false), Ok(Some(RequestId(1))));
             assert_eq!(keys.run(&k), Some(&made.map_or(Run::Failed, Run::Done)));
-            assert_eq!(keys.arrived(&k, RequestId(3), 11.1, |_| false), Ok(None));
+            assert_eq!(keys.arrived(&k, 7, RequestId(3), 11.1, |_| false), Ok(None));
             assert_eq!(keys.run(&k), None);
         }
     }
@@ -222,23 +254,40 @@
     #[test]
     fn tries_that_did_not_run_are_known_while_they_are_held() {
         let (mut keys, k) = (Keys::new(100_000), key("k"));
-        assert_eq!(keys.arrived(&k, RequestId(1), 1.0, |_| true), Ok(None));
-        assert_eq!(keys.arrived(&k, RequestId(2), 1.0, |_| true), Ok(Some(RequestId(1))));
+        assert_eq!(keys.arrived(&k, 7, RequestId(1), 1.0, |_| true), Ok(None));
+        assert_eq!(keys.arrived(&k, 7, RequestId(2), 1.0, |_| true), Ok(Some(RequestId(1))));
         keys.hold(&k, RequestId(2));
         keys.forget(&k, RequestId(1));
-        assert_eq!(keys.arrived(&k, RequestId(3), 1.0, |id| id == RequestId(2)), Ok(Some(RequestId(2))));
+        assert_eq!(keys.arrived(&k, 7, RequestId(3), 1.0, |id| id == RequestId(2)), Ok(Some(RequestId(2))));
         keys.forget(&k, RequestId(2));
         assert_eq!(keys.bytes(), 0);
     }
 
+    #[test]
+    fn a_try_with_another_body_is_none_of_the_request() {
+        let (mut keys, k) = (Keys::new(100_000), key("k"));
+        assert_ne!(print(1, b"a"), print(1, b"b"));
+        assert_ne!(print(1, b"a"), print(2, b"a"));
+        assert_eq!(keys.arrived(&k, 7, RequestId(1), 1.0, |_| true), Ok(None));
+        assert_eq!(keys.arrived(&k, 8, RequestId(2), 1.0, |_| true), Err(NotTaken::OtherBody));
+        keys.started(&k, RequestId(1), 11.0);
+        assert_eq!(keys.arrived(&k, 8, RequestId(3), 1.0, |_| true), Err(NotTaken::OtherBody));
+        // Proven never to have run, it makes way for whoever comes next.
+        keys.never_ran(&k, RequestId(1));
+        keys.forget(&k, RequestId(1));
+        assert_eq!((keys.bytes(), keys.ends.len()), (0, 0));
+        assert_eq!(keys.arrived(&k, 8, RequestId(4), 1.0, |_| true), Ok(None));
+    }
+
     #[test]
     fn memory_is_bounded_and_given_back() {
         let mut keys = Keys::new(10_000);
         let mut refused = 0;
         for n in 0..50 {
             let k = key(&format!("{n:02}"));
-            match keys.arrived(&k, RequestId(n), 1.0, |_| false) {
-                Err(Full) => refused += 1,
+            match keys.arrived(&k, 7, RequestId(n), 1.0, |_| false) {
+                Err(NotTaken::Full) => refused += 1,
+                Err(NotTaken::OtherBody) => panic!("the body is the same"),
                 Ok(_) => {
                     keys.started(&k, RequestId(n), 10.0 + n as f64);
                     keys.ended(&k, RequestId(n), result(1000));
--- a/node/src/request.rs
+++ b/node/src/request.rs
@@ -13,6 +13,8 @@
 const MAX_KEY: usize = 128;
 /// Requests need less than this many kilobytes.
 const MAX_KB: f64 = 2_000.0;
+/// More work than this, in milliseconds, is no estimate: an hour.
+const MAX_ESTIMATE_MS: f64 = 3_600_000.0;
 const WORK_PATH: &str = "/v1/";
 const CHECK_PATH: &str = "/healthz";
 
@@ -112,6 +114,14 @@
     if rank >= 1.0 {
         return bad("X-Criticality", "must be under 1");
     }
+    let estimate = number("X-Estimate-Ms")?;
+    if estimate.is_some_and(|ms| ms > MAX_ESTIMATE_MS) {
+        return bad("X-Estimate-Ms", "must be an hour at most");
+    }
+    let tenant = field("X-Org").and_then(|name| names.tenant(name));
+    if tenant.is_none() && !settings.tenants.is_empty() {
+        return bad("X-Org", "must name a tenant");
+    }
     let resent = match field("X-Resent") {
         None | Some("0") => false,
         Some("1") => true,
@@ -130,11 +140,11 @@
     Ok(Asked::Work(Work {
         uid: uid.into(),
         class,
-        tenant: field("X-Org").and_then(|name| names.tenant(name)),
+        tenant,
         caller: CallerId(caller),
         arrived: number("X-Arrived-Ms")?.map(|ms| ms / 1000.0),
         resent,
-        cost_hint: number("X-Estimate-Ms")?.filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
+        cost_hint: estimate.filter(|ms| *ms > 0.0).map(|ms| ms / 1000.0),
         held_kb,
         rank,
         key,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -358,6 +358,10 @@
         if !matches!(outcome, Outcome::Done | Outcome::Failed) && !self.ledger.live[&id].answered {
             self.fail(id, out);
         }
+        if outcome == Outcome::NotStarted && self.ledger.keys.forget(id) {
+            // Guards against the memory of keys filling with what never ran.
+            out.push(Action::Forget(id));
+        }
         self.ledger.remove(id);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,10 +157,13 @@
         self.entries.get(&id).is_some_and(|(_, ran)| !ran)
     }
 
-    pub fn forget(&mut self, id: RequestId) {
-        if let Some((until, _)) = self.entries.remove(&id) {
+    /// Whether it was remembered.
+    pub fn forget(&mut self, id: RequestId) -> bool {
+        let entry = self.entries.remove(&id);
+        if let Some((until, _)) = entry {
             self.ends.remove(&(until, id));
         }
+        entry.is_some()
     }
 
     pub fn expire(&mut self, now: f64) {
