Learn the first service rate as a plain mean instead of smoothing it up from nothing

A probe of the module's state each 0.1 s shows a rate of 9, 18, 22 a second after 0.3, 0.4 and 0.5 s and of 100 only after 4 s, where the interpreter ends 100 a second from the start; so N_max was 1 to 8 and the credit 1 to 2 with idle cores. Ruled out: the run limit (cores at 16 to 40 % then), the gauges (fresh), calls (none waited). At fault: logic.rs, measure and ceiling.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,8 @@
 /// s; D_B, the budget of delay in the hold. The paper's: 200 ms, with full goodput up to 400 ms (section
 /// 5.3); the longer, since aims here are seconds, and more that waits is more to choose from.
 const DELAY_BUDGET: f64 = 0.4;
-/// Share of the newest interval in the smoothed rate. Ours: about a second's memory.
+/// Share of the newest interval in the smoothed rate. Ours: about a second's memory. The first intervals make a plain
+/// mean: a rate smoothed up from 0 would keep callers from a server that has room.
 const RATE_SMOOTHING: f64 = 0.1;
 /// s; a caller counts as active for this long after its last request. The paper's (section 3.2).
 const CALLER_EXPIRY: f64 = 1.0;
@@ -91,8 +92,9 @@
     from: f64,
     next: f64,
     finished: f64,
-    /// The service rate, mu.
+    /// The service rate, mu, and the intervals that it was learned from.
     rate: f64,
+    counted: f64,
     /// Work waited in this interval.
     busy: bool,
     reads: f64,
@@ -457,7 +459,9 @@
         }
         let rate = self.meter.finished / length.max(MEASURE_EVERY);
         if length < 3.0 * MEASURE_EVERY && (self.meter.busy || rate > self.meter.rate) {
-            self.meter.rate += RATE_SMOOTHING * (rate - self.meter.rate);
+            self.meter.counted += 1.0;
+            let newest = RATE_SMOOTHING.max(1.0 / self.meter.counted);
+            self.meter.rate += newest * (rate - self.meter.rate);
         }
         self.meter.read_rate +=
             UNREAD_SMOOTHING * (self.meter.reads / length.max(MEASURE_EVERY) - self.meter.read_rate);
@@ -509,13 +513,10 @@
         }
     }
 
-    /// N_max = rate x delay budget; while no rate is known, a request for each core.
+    /// N_max = rate x delay budget; while the rate is hardly known, a request for each core at least.
     fn ceiling(&self) -> f64 {
-        if self.meter.rate == 0.0 {
-            f64::from(self.set.cores)
-        } else {
-            (self.meter.rate * DELAY_BUDGET).max(1.0)
-        }
+        let known = self.meter.rate > 0.0 && self.meter.counted * RATE_SMOOTHING >= 1.0;
+        (self.meter.rate * DELAY_BUDGET).max(if known { 1.0 } else { f64::from(self.set.cores) })
     }
 
     fn pressed(&self) -> bool {
