--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,8 +15,8 @@
 /// s; D_B, the budget of delay in the hold. The paper's: 200 ms, with full goodput up to 400 ms (section
 /// 5.3); the longer, since aims here are seconds, and more that waits is more to choose from.
 const DELAY_BUDGET: f64 = 0.4;
-/// Share of the newest interval in the smoothed rate. Ours: about a second's memory. The first intervals make a plain
-/// mean: a rate smoothed up from 0 would keep callers from a server that has room.
+/// Share of the newest interval in the smoothed rate. Ours: about a second's memory. The first intervals make
+/// a plain mean: a rate smoothed up from 0 would keep callers from a server that has room.
 const RATE_SMOOTHING: f64 = 0.1;
 /// s; a caller counts as active for this long after its last request. The paper's (section 3.2).
 const CALLER_EXPIRY: f64 = 1.0;
