Let connections that bring no whole request go in 2 s, and make room when all are taken

At fault: connection.rs, READ_STALL of 60 s from the last byte, so that silence had no limit and a drip renewed it; requests.rs, which waited for the end of an oversized body; lost framing, which dropped whole requests too. Ruled out: refusals that come late (all answers to bad requests leave within a turn of the engine).

Now a first request that makes sense must come within 2 s of connecting, and the rest of a later one within 2 s; whole requests are answered first. Oversized requests get 400 at once and the rest is dropped, within bounds. When all connections are taken, the least useful one ends. Faults of peers are told in one line a second.

--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -63,8 +63,6 @@
         /// The try.
         id: RequestId,
     },
-    /// More connections are wanted than may be open.
-    Crowded,
     /// The interpreter told something.
     Heard(Message),
     /// The link to the interpreter is up, and all that was missed has been heard.
@@ -269,7 +267,6 @@
                 reply.send(Reply { answer: Answer::Health { good: self.good }, say: self.say });
             }
             Input::Gone { id } => self.gone(id),
-            Input::Crowded => self.close_idle(Duration::ZERO),
             Input::Heard(message) => self.heard(message),
             Input::LinkUp => self.link_up = true,
             Input::LinkDown => {
@@ -316,7 +313,6 @@
             return;
         }
         if self.by_uid.contains_key(&work.uid) {
-            log!("request {} is here already", work.uid);
             reply.send(Reply { answer: Answer::Bad, say });
             return;
         }
--- a/node/src/fastcgi/connection.rs
+++ b/node/src/fastcgi/connection.rs
@@ -1,22 +1,23 @@
 //! A balancer's connection: reads requests, hands them to the engine, and writes the answers in the order in which
 //! they come.
 
-use super::records::{Record, next_record, pairs, put_reply};
+use super::records::{LostFraming, Record, next_record, pairs, put_reply};
 use super::requests::{Budget, MAX_OPEN, Requests, Step, Whole};
 use crate::config::Config;
 use crate::engine::{Idle, Input};
 use crate::log;
+use crate::log::Limiter;
 use crate::request::{self, Answer, Asked, BadRequest, Reply, ReplyTo};
 use crate::socket::silent;
 use jaspershunt::{RequestId, Settings};
 use jaspershunt_settings::Names;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::Interest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -25,10 +26,20 @@
 const MAX_UNWRITTEN: usize = 64 * 1024;
 /// An answer that cannot be written for so long is given up, and its connection with it.
 const WRITE_STALL: Duration = Duration::from_secs(60);
-/// A request or record that is not whole after so long without a byte is given up, and its connection with it.
-const READ_STALL: Duration = Duration::from_secs(60);
-/// Read at once.
+/// A new connection has so long to bring a first request that makes sense, and one that did has so long for the rest of
+/// a later one. Nothing is owed to who brings none, but a word or a close within 3 s.
+const WHOLE_WITHIN: Duration = Duration::from_secs(2);
+/// For so long a connection that brought nothing yet counts as one that will.
+const NEWCOMER: Duration = Duration::from_millis(500);
+/// Bytes that belong to no open request and are read between two that do.
+const MAX_STRAY: usize = 256 * 1024;
+/// Before a connection closes on a peer that still sends, so much is read, for so long at most: a close with bytes
+/// unread is a reset, which could take the last answer with it.
+const MAX_LINGER: usize = 1024 * 1024;
+const LINGER: Duration = Duration::from_secs(1);
+/// Read at once. After so many reads with no wait between them the other tasks have their turn.
 const CHUNK: usize = 4 * 1024;
+const READS_A_TURN: u32 = 4;
 
 /// What all connections share.
 pub struct Front {
@@ -48,21 +59,38 @@
     pub idle: watch::Receiver<Idle>,
     /// Connections open.
     pub open: Cell<usize>,
-    /// Told of each connection that ends.
+    /// What is known of each of them from outside, by the order in which they came.
+    slots: RefCell<BTreeMap<u64, Rc<Slot>>>,
+    /// Told of each connection that ends, or that was asked to and cannot.
     pub ended: Notify,
+    /// Cuts the lines on what peers do wrong to one a second.
+    faults: RefCell<Limiter>,
     /// The last request id that was given out; ids are never used twice.
     pub last_id: Cell<u64>,
 }
 
+/// A connection as the others see it.
+struct Slot {
+    /// It brought a request that makes sense.
+    used: Cell<bool>,
+    /// No answer is owed on it.
+    quiet: Cell<bool>,
+    last_traffic: Cell<Instant>,
+    /// It was asked to make room.
+    asked: Cell<bool>,
+    ask: Notify,
+}
+
 /// Accepts connections until `stop`, and takes in those that the machine has accepted by then.
 pub async fn accept(listener: TcpListener, front: Rc<Front>, stop: impl Future<Output = ()>) {
     let mut stop = std::pin::pin!(stop);
     loop {
         // Descriptors are left for everything else: the rest waits until a connection has ended.
         if front.open.get() >= front.most {
-            front.idle_now();
+            let ended = front.ended.notified();
+            front.make_room();
             tokio::select! {
-                () = front.ended.notified() => continue,
+                () = ended => continue,
                 () = &mut stop => break,
             }
         }
@@ -89,9 +117,19 @@
 fn start(stream: TcpStream, peer: SocketAddr, front: &Rc<Front>) {
     let front = front.clone();
     front.open.set(front.open.get() + 1);
+    let place = front.slots.borrow().last_key_value().map_or(0, |(place, _)| place + 1);
+    let slot = Rc::new(Slot {
+        used: Cell::new(false),
+        quiet: Cell::new(true),
+        last_traffic: Cell::new(Instant::now()),
+        asked: Cell::new(false),
+        ask: Notify::new(),
+    });
+    front.slots.borrow_mut().insert(place, slot.clone());
     tokio::task::spawn_local(async move {
         let _ = stream.set_nodelay(true);
-        Connection::new(stream, peer, front.clone()).serve().await;
+        Connection::new(stream, peer, front.clone(), slot).serve().await;
+        front.slots.borrow_mut().remove(&place);
         front.open.set(front.open.get() - 1);
         front.ended.notify_waiters();
     });
@@ -109,15 +147,33 @@
             most: config.bounds.connections,
             idle,
             open: Cell::new(0),
+            slots: RefCell::default(),
             ended: Notify::new(),
+            faults: RefCell::new(Limiter::new(1)),
             last_id: Cell::new(0),
         }
     }
 
-    /// Asks the engine to have idle connections closed.
-    fn idle_now(&self) {
-        // A full queue means that the engine is busy; the next connection asks again.
-        let _ = self.engine.try_send(Input::Crowded);
+    /// Asks the connection that is of least use to end: one that never brought a request that makes sense, else one that
+    /// has been idle, and of these the one that has been so for longest. None on which an answer is owed.
+    fn make_room(&self) {
+        let slots = self.slots.borrow();
+        let quiet = slots.values().filter(|slot| slot.quiet.get() && !slot.asked.get());
+        // A newcomer's request may still be on its way.
+        let useless = |slot: &Slot| !slot.used.get() && slot.last_traffic.get().elapsed() > NEWCOMER;
+        if let Some(slot) =
+            quiet.min_by_key(|slot| (!useless(slot), !slot.used.get(), slot.last_traffic.get()))
+        {
+            slot.asked.set(true);
+            slot.ask.notify_one();
+        }
+    }
+
+    /// Tells the operator what a peer did wrong, now and then: there can be very many.
+    fn fault(&self, peer: SocketAddr, what: &dyn std::fmt::Display) {
+        if let Some(more) = self.faults.borrow_mut().admit_now() {
+            log!("fault of a peer, {peer}: {what} (and {more} of others since the last line)");
+        }
     }
 }
 
@@ -146,19 +202,25 @@
     ids: BTreeMap<u16, RequestId>,
     replies: mpsc::Receiver<(u16, Reply)>,
     reply_to: mpsc::Sender<(u16, Reply)>,
+    slot: Rc<Slot>,
     input: Vec<u8>,
     output: Vec<u8>,
     /// Bytes of `output` that are booked.
     booked: usize,
     read_closed: bool,
-    /// To be closed once all is written.
+    /// To be closed once all is answered and written; nothing more is read.
     closing: bool,
-    last_traffic: Instant,
+    /// Since when a first request that makes sense, or the rest of a later one, is waited for.
+    waits_since: Option<Instant>,
+    /// Bytes read that belong to no open request, since the last whole one.
+    stray: usize,
+    /// Reads since the other tasks had their turn.
+    reads: u32,
     last_write: Instant,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, peer: SocketAddr, front: Rc<Front>) -> Connection {
+    fn new(stream: TcpStream, peer: SocketAddr, front: Rc<Front>, slot: Rc<Slot>) -> Connection {
         // Room for a reply to every request that may be open: handing one over never waits.
         let (reply_to, replies) = mpsc::channel(MAX_OPEN);
         let requests = Requests::new(front.held.clone());
@@ -171,12 +233,15 @@
             ids: BTreeMap::new(),
             replies,
             reply_to,
+            slot,
             input: Vec::new(),
             output: Vec::new(),
             booked: 0,
             read_closed: false,
             closing: false,
-            last_traffic: now,
+            waits_since: Some(now),
+            stray: 0,
+            reads: 0,
             last_write: now,
         }
     }
@@ -186,7 +251,10 @@
             Ok(end) | Err(end) => end,
         };
         if let End::Fault(what) = end {
-            log!("connection from {} closed: {what}", self.peer);
+            self.front.fault(self.peer, &what);
+        }
+        if self.closing && !self.read_closed && !matches!(end, End::Gone) {
+            self.linger().await;
         }
         for id in self.requests.unanswered().collect::<Vec<_>>() {
             if let Some(id) = self.ids.remove(&id) {
@@ -201,9 +269,11 @@
         loop {
             // What is not whole by now never will be: waiting for it would keep the connection open for ever.
             let no_more = self.closing || self.read_closed;
-            if no_more && self.requests.unanswered().next().is_none() && self.output.is_empty() {
+            let owed = self.requests.unanswered().next().is_some() || !self.output.is_empty();
+            if no_more && !owed {
                 return Ok(End::Finished);
             }
+            self.slot.quiet.set(!owed);
             let may_read = !self.read_closed && !self.closing && self.output.len() < MAX_UNWRITTEN;
             let interest = match (may_read, !self.output.is_empty()) {
                 (true, true) => Some(Interest::READABLE | Interest::WRITABLE),
@@ -214,6 +284,7 @@
             if idle.borrow().standing && self.may_close() {
                 return Ok(End::Finished);
             }
+            let give_up = self.waits_since.filter(|_| !owed).map(|since| since + WHOLE_WITHIN);
             tokio::select! {
                 biased;
                 Some((id, reply)) = self.replies.recv() => {
@@ -232,19 +303,50 @@
                 }
                 changed = idle.changed() => {
                     let limit = idle.borrow().limit;
-                    let lapsed = changed.is_err() || self.last_traffic.elapsed() >= limit;
+                    let lapsed = changed.is_err() || self.slot.last_traffic.get().elapsed() >= limit;
                     if lapsed && self.may_close() {
                         return Ok(End::Finished);
                     }
                 }
-                () = sleep_until(self.last_traffic + READ_STALL), if may_read && self.partial() => {
-                    return Err(End::Fault("it leaves a request half sent"));
+                () = self.slot.ask.notified() => {
+                    if !owed && (!self.slot.used.get() || self.may_close()) {
+                        return Ok(End::Finished);
+                    }
+                    self.slot.asked.set(false);
+                    self.front.ended.notify_waiters();
+                }
+                () = sleep_until(give_up.unwrap_or(self.last_write)), if give_up.is_some() => {
+                    return Err(End::Fault("it brings no whole request in time"));
                 }
                 () = sleep_until(self.last_write + WRITE_STALL), if !self.output.is_empty() => {
                     return Err(End::Fault("its answers are not read"));
                 }
             }
             self.write()?;
+            self.note_wait();
+        }
+    }
+
+    /// Notes since when a request is waited for that is not whole, or a first one that makes sense.
+    fn note_wait(&mut self) {
+        if self.slot.used.get() && !self.partial() {
+            self.waits_since = None;
+        } else if self.waits_since.is_none() {
+            self.waits_since = Some(Instant::now());
+        }
+    }
+
+    /// Ends what is sent and reads on for a little, behind answers to a peer that may still send.
+    async fn linger(&mut self) {
+        let _ = self.stream.shutdown().await;
+        let until = Instant::now() + LINGER;
+        let mut scratch = vec![0; CHUNK];
+        let mut left = MAX_LINGER;
+        while let Ok(Ok(n @ 1..)) = timeout_at(until, self.stream.read(&mut scratch)).await {
+            left = left.saturating_sub(n);
+            if left == 0 {
+                return;
+            }
         }
     }
 
@@ -262,14 +364,20 @@
     /// Reads what is there and takes in all that is whole. The end of the peer's sending is no abort: what was read
     /// is answered.
     async fn read(&mut self) -> Result<(), End> {
+        self.reads += 1;
+        if self.reads > READS_A_TURN {
+            // Guards against a peer that sends without end and would keep all others from the thread.
+            self.reads = 0;
+            tokio::task::yield_now().await;
+        }
         self.input.reserve(CHUNK);
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => self.read_closed = true,
             Ok(_) => {
-                self.last_traffic = Instant::now();
+                self.slot.last_traffic.set(Instant::now());
                 self.take_in().await?;
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.reads = 0,
             Err(e) => return Err(e.into()),
         }
         Ok(())
@@ -278,25 +386,47 @@
     async fn take_in(&mut self) -> Result<(), End> {
         let input = std::mem::take(&mut self.input);
         let mut rest = &input[..];
-        loop {
+        while !self.closing {
             match next_record(&mut rest) {
                 Ok(Some(record)) => self.take_record(&record).await?,
                 Ok(None) => break,
-                Err(_) => return Err(End::Fault("what it sends are no records of FastCGI 1.0")),
+                Err(LostFraming) => self.lost("what it sends are no records of FastCGI 1.0"),
             }
         }
-        self.input = rest.to_vec();
+        if !self.closing {
+            self.input = rest.to_vec();
+        }
         Ok(())
     }
 
+    /// Nothing more can be made of what the peer sends. What was whole before is answered all the same.
+    fn lost(&mut self, what: &'static str) {
+        self.front.fault(self.peer, &what);
+        self.closing = true;
+    }
+
     async fn take_record(&mut self, record: &Record<'_>) -> Result<(), End> {
         let Ok(step) = self.requests.take(record, &mut self.output) else {
-            return Err(End::Fault("it begins a request that is open, or in a malformed way"));
+            self.lost("it begins a request that is open, or in a malformed way");
+            return Ok(());
         };
         self.book()?;
         match step {
             Step::Nothing => {}
-            Step::Whole(whole) => self.hand_over(whole).await,
+            Step::Stray => {
+                // Guards against a peer that keeps the thread busy with what is no request.
+                self.stray += record.content.len() + 1;
+                if self.stray > MAX_STRAY {
+                    self.lost("it sends too much that belongs to no request");
+                }
+            }
+            Step::Whole(whole) => {
+                self.stray = 0;
+                self.hand_over(whole).await;
+                if self.slot.used.get() {
+                    self.waits_since = None;
+                }
+            }
             // The engine owes no answer any more and gives one all the same, with which the request is closed: its
             // id cannot be taken again while a reply to it may be on the way.
             Step::Aborted(id) => {
@@ -304,6 +434,10 @@
                     let _ = self.front.engine.send(Input::Gone { id }).await;
                 }
             }
+            Step::Oversize(id) => {
+                self.front.fault(self.peer, &"a request is over its size");
+                self.answer(id, &Reply { answer: Answer::Bad, say: None })?;
+            }
             Step::Ended { close } => self.closing |= close,
         }
         Ok(())
@@ -312,18 +446,20 @@
     async fn hand_over(&mut self, whole: Whole) {
         let reply = ReplyTo::new(self.reply_to.clone(), whole.id);
         let front = &self.front;
-        match asked(whole.params.as_deref(), whole.body, front) {
+        match asked(&whole.params, whole.body, front) {
             Ok(Asked::Check) => {
+                self.slot.used.set(true);
                 let _ = front.engine.send(Input::Check { reply }).await;
             }
             Ok(Asked::Work(work)) => {
+                self.slot.used.set(true);
                 let id = RequestId(front.last_id.get() + 1);
                 front.last_id.set(id.0);
                 self.ids.insert(whole.id, id);
                 let _ = front.engine.send(Input::Work { id, work, reply }).await;
             }
             Err(problem) => {
-                log!("bad request from {}: {problem}", self.peer);
+                front.fault(self.peer, &problem);
                 reply.send(Reply { answer: Answer::Bad, say: None });
             }
         }
@@ -353,7 +489,7 @@
                 Ok(n) => {
                     self.output.drain(..n);
                     self.last_write = Instant::now();
-                    self.last_traffic = self.last_write;
+                    self.slot.last_traffic.set(self.last_write);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e.into()),
@@ -371,8 +507,7 @@
 }
 
 /// Reads a request from its parameters, which are named as CGI names headers.
-fn asked(params: Option<&[u8]>, body: Vec<u8>, front: &Front) -> Result<Asked, BadRequest> {
-    let Some(params) = params else { return Err(BadRequest("it is over its size".to_string())) };
+fn asked(params: &[u8], body: Vec<u8>, front: &Front) -> Result<Asked, BadRequest> {
     let Some(pairs) = pairs(params) else {
         return Err(BadRequest("its parameters are cut off".to_string()));
     };
--- a/node/src/fastcgi/requests.rs
+++ b/node/src/fastcgi/requests.rs
@@ -45,8 +45,8 @@
 pub struct Whole {
     /// Its id on the connection.
     pub id: u16,
-    /// The parameters, still packed; `None` if the request is over its size.
-    pub params: Option<Vec<u8>>,
+    /// The parameters, still packed.
+    pub params: Vec<u8>,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -58,6 +58,10 @@
     Nothing,
     /// A request is whole.
     Whole(Whole),
+    /// The record belongs to no open request.
+    Stray,
+    /// A request that is not whole is over its size already. It is to be answered; the rest of it is stray then.
+    Oversize(u16),
     /// The caller of a whole request has gone.
     Aborted(u16),
     /// A request ended before it was whole, with what was written to `out`.
@@ -73,7 +77,6 @@
     params_ended: bool,
     body: Vec<u8>,
     body_ended: bool,
-    oversize: bool,
     whole: bool,
     /// Bytes taken from the budget. They stay booked until the request is answered, since what was read of it is
     /// held until then.
@@ -121,13 +124,13 @@
     pub fn take(&mut self, record: &Record, out: &mut Vec<u8>) -> Result<Step, LostFraming> {
         if record.id == 0 {
             manage(record, out);
-            return Ok(Step::Nothing);
+            return Ok(Step::Stray);
         }
         if record.kind == kind::BEGIN_REQUEST {
             return self.begin(record, out);
         }
         // Records of requests that are not open are left over from answered ones: the protocol has them ignored.
-        let Some(open) = self.open.get_mut(&record.id) else { return Ok(Step::Nothing) };
+        let Some(open) = self.open.get_mut(&record.id) else { return Ok(Step::Stray) };
         match record.kind {
             kind::ABORT_REQUEST if open.whole => return Ok(Step::Aborted(record.id)),
             kind::ABORT_REQUEST => {
@@ -136,26 +139,27 @@
             }
             kind::PARAMS if !open.params_ended => {
                 open.params_ended = record.content.is_empty();
-                let fits = open.grow(|open| &mut open.params, record.content, MAX_PARAMS, &self.budget);
-                if !fits {
-                    return Ok(self.overloaded(record.id, out));
+                match open.grow(|open| &mut open.params, record.content, MAX_PARAMS, &self.budget) {
+                    Grown::Fits => {}
+                    Grown::Oversize => return Ok(Step::Oversize(record.id)),
+                    Grown::NoRoom => return Ok(self.overloaded(record.id, out)),
                 }
             }
             kind::STDIN if !open.body_ended => {
                 open.body_ended = record.content.is_empty();
-                let fits = open.grow(|open| &mut open.body, record.content, MAX_BODY, &self.budget);
-                if !fits {
-                    return Ok(self.overloaded(record.id, out));
+                match open.grow(|open| &mut open.body, record.content, MAX_BODY, &self.budget) {
+                    Grown::Fits => {}
+                    Grown::Oversize => return Ok(Step::Oversize(record.id)),
+                    Grown::NoRoom => return Ok(self.overloaded(record.id, out)),
                 }
             }
-            _ => {}
+            _ => return Ok(Step::Stray),
         }
         if open.whole || !open.params_ended || !open.body_ended {
             return Ok(Step::Nothing);
         }
         open.whole = true;
         let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
-        let params = if open.oversize { None } else { Some(params) };
         Ok(Step::Whole(Whole { id: record.id, params, body }))
     }
 
@@ -179,7 +183,6 @@
             params_ended: false,
             body: Vec::new(),
             body_ended: false,
-            oversize: false,
             whole: false,
             booked: 0,
         };
@@ -201,28 +204,33 @@
     }
 }
 
+/// What became of a part of a request that grows.
+enum Grown {
+    Fits,
+    /// It is over its size.
+    Oversize,
+    /// There is no memory for it.
+    NoRoom,
+}
+
 impl Open {
-    /// Appends to a part of a request. Beyond its bound both parts are dropped and only the end of the request is
-    /// waited for, since the connection lives on. Whether the budget had room.
+    /// Appends to a part of a request.
     fn grow(
         &mut self,
         part: fn(&mut Open) -> &mut Vec<u8>,
         more: &[u8],
         most: usize,
         budget: &Budget,
-    ) -> bool {
-        if self.oversize || part(self).len() + more.len() > most {
-            self.oversize = true;
-            (self.params, self.body) = (Vec::new(), Vec::new());
-            budget.give(std::mem::take(&mut self.booked));
-            return true;
+    ) -> Grown {
+        if part(self).len() + more.len() > most {
+            return Grown::Oversize;
         }
-        let fits = budget.take(more.len());
-        if fits {
-            self.booked += more.len();
-            part(self).extend(more);
+        if !budget.take(more.len()) {
+            return Grown::NoRoom;
         }
-        fits
+        self.booked += more.len();
+        part(self).extend(more);
+        Grown::Fits
     }
 }
 
