Take good replies whatever follows them, and ask again for those that got lost

At fault: http.rs took a reply followed by anything for a broken one, knew no 1xx, took the first of two lengths and waited for the end of noise; database.rs used a connection again at once, so that a second copy behind a reply could be read as the next reply, and made calls that cannot be repeated on idle connections, which may have been forgotten, so that a call that never ran looked like one that did; logic.rs (call_ended, make_calls) skipped a lost call at once and waited until the due time for a reply that never came.

Now replies are read strictly, with one certain length, behind at most eight 1xx; connections are used again only after 50 ms of silence; calls of keyed requests have connections of their own; the module asks again, twice at most, where the class allows it, and gives a call up after six times the mean. A report to the directory waits 300 ms for its answer and never holds up what is news.

--- a/node/src/database.rs
+++ b/node/src/database.rs
@@ -16,6 +16,10 @@
 /// An idle connection is used again only within this time. The database closes them after 10 s, and a call that
 /// crosses such a close might have run.
 const IDLE: Duration = Duration::from_secs(4);
+/// So many idle ones are kept; with those that carry a call they stay within the descriptors for calls.
+const MAX_IDLE: usize = 16;
+/// It is used again no sooner than this: bytes that were sent behind a reply would else be taken for the next one.
+const SETTLED: Duration = Duration::from_millis(50);
 
 /// A call to make.
 #[derive(Debug)]
@@ -28,6 +32,9 @@
     pub uid: Rc<str>,
     /// The body, as the interpreter gave it.
     pub body: Vec<u8>,
+    /// Nothing may be left open as to whether it ran, since it cannot be made again: it gets a connection of its own. One
+    /// that was idle may have been forgotten at the other end; what breaks it then looks like a call that ran.
+    pub once: bool,
     /// The call is given up after this time.
     pub give_up_after: Duration,
     /// The call is given up when the other half is dropped.
@@ -73,13 +80,13 @@
         let Some(call) = call else { return };
         let (pool, room, engine) = (pool.clone(), room.clone(), engine.clone());
         tokio::task::spawn_local(async move {
-            let Call { id, number, uid, body, give_up_after, mut given_up } = call;
+            let Call { id, number, uid, body, once, give_up_after, mut given_up } = call;
             let began = Instant::now();
             tokio::select! {
                 biased;
                 // The connection closes as the call is dropped, which gives the call up below.
                 _ = &mut given_up => {}
-                end = make(&pool, &room, &uid, &body, give_up_after) => {
+                end = make(&pool, &room, &uid, &body, once, give_up_after) => {
                     let took = began.elapsed().as_secs_f64();
                     let _ = engine.send(Input::CallEnded { id, number, end, took }).await;
                 }
@@ -93,6 +100,7 @@
     room: &Semaphore,
     uid: &str,
     body: &[u8],
+    once: bool,
     give_up_after: Duration,
 ) -> CallEnd {
     let failed = |outcome| CallEnd { outcome, body: Vec::new() };
@@ -100,7 +108,7 @@
         let Ok(_permit) = room.acquire().await else { return failed(Outcome::Unreachable) };
         let (address, reused) = {
             let mut pool = pool.borrow_mut();
-            (pool.address, pool.take())
+            (pool.address, if once { None } else { pool.take() })
         };
         let mut stream = match reused {
             Some(stream) => stream,
@@ -115,7 +123,7 @@
         let _ = stream.set_nodelay(true);
         match http::call(&mut stream, &request(uid, body, give_up_after)).await {
             Ok(reply) => {
-                if http::reusable(&reply) {
+                if reply.reusable {
                     pool.borrow_mut().put_back(address, stream);
                 }
                 CallEnd { outcome: outcome(&reply), body: reply.body }
@@ -131,12 +139,13 @@
     fn take(&mut self) -> Option<TcpStream> {
         let now = Instant::now();
         self.idle.retain(|(since, stream)| now.duration_since(*since) < IDLE && socket::silent(stream));
-        self.idle.pop().map(|(_, stream)| stream)
+        let settled = self.idle.iter().rposition(|(since, _)| now.duration_since(*since) >= SETTLED);
+        settled.map(|place| self.idle.remove(place).1)
     }
 
-    /// Keeps a connection to this address for another call, unless the database has moved meanwhile.
+    /// Keeps a connection to this address for another call, unless the database has moved meanwhile or enough are kept.
     fn put_back(&mut self, address: SocketAddr, stream: TcpStream) {
-        if address == self.address {
+        if address == self.address && self.idle.len() < MAX_IDLE {
             self.idle.push((Instant::now(), stream));
         }
     }
--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -13,8 +13,9 @@
 
 /// Between reports. An entry lapses 3 s after the last one.
 const REPORT_EVERY: Duration = Duration::from_millis(900);
-/// For one report; the next one tries again.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// For the answer to one report. One that gets none may have counted all the same, but the next one comes soon, on
+/// another connection.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Between the attempts at a report that did not count.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -41,7 +42,15 @@
         }
         let mut next = Instant::now() + REPORT_EVERY;
         if let Some(told) = told {
-            let sent = timeout(REPORT_TIMEOUT, put(address, name, told, stream.take())).await;
+            let sent = tokio::select! {
+                sent = timeout(REPORT_TIMEOUT, put(address, name, told, stream.take())) => sent,
+                // What is news is reported at once, whatever the last report still waits for.
+                changed = mode.changed() => match changed {
+                    Ok(()) => continue,
+                    Err(_) => return,
+                },
+                Ok(()) = peers.changed() => continue,
+            };
             let (kept, failed) = match sent {
                 Ok(Ok(kept)) => (kept, None),
                 Ok(Err(e)) => (None, Some(e)),
@@ -88,5 +97,5 @@
     if reply.head.status != 204 {
         return Err(io::Error::other(format!("status {}", reply.head.status)));
     }
-    Ok(http::reusable(&reply).then_some(stream))
+    Ok(reply.reusable.then_some(stream))
 }
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -595,6 +595,7 @@
             number,
             uid: entry.uid.clone(),
             body: content.clone(),
+            once: self.settings.classes[entry.class].repeat != Repeat::Safe,
             give_up_after: Duration::from_secs_f64(give_up_after),
             given_up,
         };
--- a/node/src/http.rs
+++ b/node/src/http.rs
@@ -11,14 +11,18 @@
 /// The longest head and body of a reply.
 const MAX_HEAD: usize = 8 * 1024;
 const MAX_BODY: usize = 64 * 1024;
+/// Interim answers that one reply may have before it.
+const MAX_INTERIM: usize = 8;
+/// What every reply begins with.
+const BEGINNING: &[u8] = b"HTTP/1.";
 
 /// The head of a reply.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Head {
     /// The status.
     pub status: u16,
-    /// The length of the body, where it is told.
-    pub length: Option<usize>,
+    /// The length of the body.
+    pub length: usize,
     /// The connection is closed behind the body.
     pub close: bool,
     /// The header `Never-Started: 1` is there: what was asked for never ran.
@@ -32,6 +36,8 @@
     pub head: Head,
     /// The body.
     pub body: Vec<u8>,
+    /// The connection can carry another call: nothing came but this reply, and the other end keeps it open.
+    pub reusable: bool,
 }
 
 fn header<'a>(input: &mut &'a [u8]) -> winnow::ModalResult<(&'a [u8], &'a [u8])> {
@@ -47,19 +53,22 @@
     let (version, _, status, _, _) =
         (version, b" ", dec_uint::<_, u16, _>, reason, crlf).parse_next(input)?;
     let (headers, _): (Vec<_>, _) = repeat_till(0.., header, crlf).parse_next(input)?;
-    let value = |name: &str| {
-        let of = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes()))?;
-        Some(of.1.trim_ascii())
+    let values = |name: &'static str| {
+        headers
+            .iter()
+            .filter(move |(n, _)| n.eq_ignore_ascii_case(name.as_bytes()))
+            .map(|(_, v)| v.trim_ascii())
     };
-    let length = match value("Content-Length") {
-        // A length that is no number would lose the end of the body.
-        Some(text) => match std::str::from_utf8(text).ok().and_then(|text| text.parse().ok()) {
-            Some(length) => Some(length),
+    let value = |name| values(name).next();
+    // Where the body ends must be told, once and beyond doubt: else it is not known to be whole.
+    let mut lengths = values("Content-Length");
+    let length = match (lengths.next(), value("Transfer-Encoding")) {
+        (Some(text), None) if lengths.all(|other| other == text) => match digits(text) {
+            Some(length) => length,
             None => return winnow::combinator::fail.parse_next(input),
         },
-        None if value("Transfer-Encoding").is_some() => return winnow::combinator::fail.parse_next(input),
-        None if status == 204 || status == 304 => Some(0),
-        None => None,
+        (None, None) if status < 200 || status == 204 || status == 304 => 0,
+        _ => return winnow::combinator::fail.parse_next(input),
     };
     let close = match value("Connection") {
         Some(text) => text.eq_ignore_ascii_case(b"close"),
@@ -68,53 +77,64 @@
     Ok(Head { status, length, close, never_started: value("Never-Started") == Some(b"1") })
 }
 
+/// A number written in digits only.
+fn digits(text: &[u8]) -> Option<usize> {
+    let text = std::str::from_utf8(text).ok().filter(|text| text.bytes().all(|b| b.is_ascii_digit()))?;
+    text.parse().ok()
+}
+
 /// Reads the head at the front of `bytes`, with its length; `None` while it is not whole.
 ///
 /// # Errors
 /// What stands there is no head of a reply, or one that is not understood here.
 pub fn read_head(bytes: &[u8]) -> io::Result<Option<(Head, usize)>> {
     let unreadable = || io::Error::from(io::ErrorKind::InvalidData);
+    // Noise is known by its first bytes: its end would be waited for in vain.
+    if !bytes.iter().zip(BEGINNING).all(|(byte, expected)| byte == expected) {
+        return Err(unreadable());
+    }
     let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
         return if bytes.len() > MAX_HEAD { Err(unreadable()) } else { Ok(None) };
     };
     let whole = end + 4;
     match head.parse(&bytes[..whole]) {
-        Ok(head) if head.length.is_none_or(|length| length <= MAX_BODY) => Ok(Some((head, whole))),
+        Ok(head) if head.length <= MAX_BODY => Ok(Some((head, whole))),
         _ => Err(unreadable()),
     }
 }
 
-/// Makes a call on a connection. The connection serves for another one if the reply says so; see [`reusable`].
+/// Makes a call on a connection, which serves for another one only if [`Reply::reusable`] says so.
 ///
 /// # Errors
 /// The connection broke or the reply cannot be read: nothing is known of what became of the call.
 pub async fn call(stream: &mut TcpStream, request: &[u8]) -> io::Result<Reply> {
     stream.write_all(request).await?;
     let mut input = Vec::with_capacity(1024);
+    let mut interim = 0;
     let (head, start) = loop {
-        if let Some(head) = read_head(&input)? {
-            break head;
+        match read_head(&input)? {
+            Some((head, whole)) if (100..200).contains(&head.status) && head.status != 101 => {
+                interim += 1;
+                if interim > MAX_INTERIM || head.length > 0 {
+                    return Err(io::ErrorKind::InvalidData.into());
+                }
+                input.drain(..whole);
+                continue;
+            }
+            Some(head) => break head,
+            None => {}
         }
         if stream.read_buf(&mut input).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     };
-    let most = start + head.length.unwrap_or(MAX_BODY);
-    while input.len() < most {
+    let end = start + head.length;
+    while input.len() < end {
         if stream.read_buf(&mut input).await? == 0 {
-            if head.length.is_some() {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            break;
+            return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
-    if input.len() > most {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
-    Ok(Reply { head, body: input.split_off(start) })
-}
-
-/// Whether a connection can carry another call after this reply.
-pub fn reusable(reply: &Reply) -> bool {
-    reply.head.length.is_some() && !reply.head.close
+    let reusable = input.len() == end && !head.close;
+    input.truncate(end);
+    Ok(Reply { head, body: input.split_off(start), reusable })
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -44,6 +44,22 @@
     LocalSet::new().block_on(&runtime, bounded);
 }
 
+/// Runs a test on a clock that goes on by a millisecond whenever nothing is left to do: no faster, so that what sockets
+/// bring is never overtaken by a timer of seconds.
+pub fn paused(test: impl Future<Output = ()>) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        spawn_local(async {
+            loop {
+                tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+            }
+        });
+        let hangs = std::time::Duration::from_secs(1000);
+        tokio::time::timeout(hangs, test).await.expect("the test hangs");
+    });
+}
+
 /// The address as that of every party.
 pub fn all_at(address: SocketAddr) -> Peers {
     Peers { interpreter: address, directory: address, database: address }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -57,6 +57,13 @@
 const CALLS_SLOW: f64 = 0.4;
 /// Times the least that calls took here, beyond which they are slow. Ours.
 const CALLS_SLOWED: f64 = 2.5;
+/// Times what calls take here in the mean, after which one that may be made again is taken for lost. Ours:
+/// times vary less than that, unless all become longer, and then the mean follows.
+const CALL_PATIENCE: f64 = 6.0;
+/// Times the mean that a call given up counts for at most. Ours: the mean follows if all are, not if a few.
+const CALL_OVERDUE: f64 = 2.0;
+/// Calls of a request that may be lost and made again. Ours.
+const CALLS_LOST: u32 = 2;
 /// s; answers are given this long before they fall due or stop earning. Ours: some ticks and the way back.
 const ANSWER_AHEAD: f64 = 0.02;
 /// s; the memory of the rates of tenants. Ours: some tens of requests of each.
@@ -823,8 +830,7 @@
         match self.set.below {
             Below::Shared { fair_calls, .. } => {
                 let in_hand = self.calls_in_hand();
-                let slow = self.calls.took.is_some_and(|took| took > CALLS_SLOWED * self.calls.least);
-                let most = fair_calls * if slow { CALLS_SLOW } else { CALLS_MARGIN };
+                let most = fair_calls * if self.calls_slow() { CALLS_SLOW } else { CALLS_MARGIN };
                 self.calls.owed <= 0.0 && (in_hand == 0.0 || in_hand + 1.0 <= most)
             }
             _ => true,
@@ -842,6 +848,18 @@
         }
     }
 
+    /// How long a call may take before it is given up.
+    fn patience(&self, l: &Live) -> f64 {
+        let safe = self.set.classes[l.request.class].repeat == Repeat::Safe;
+        let usual = self.calls.took.filter(|_| safe).map_or(f64::INFINITY, |took| took * CALL_PATIENCE);
+        usual.max(DELAY_BUDGET / 2.0).min(self.longest_call())
+    }
+
+    /// Whether calls take far longer than they once did.
+    fn calls_slow(&self) -> bool {
+        self.calls.took.is_some_and(|took| took > CALLS_SLOWED * self.calls.least)
+    }
+
     /// The call to make next: that of the most worthy request, and of those the first to fall due.
     fn next_call(&self) -> Option<RequestId> {
         let first = |lane: &usize| self.ledger.wanted[*lane].first().map(|(_, id)| *id);
@@ -852,8 +870,8 @@
         while self.may_call() {
             let Some(id) = self.next_call() else { break };
             self.put(id, Stage::AtCall);
-            let left = self.ledger.live[&id].last_use - self.now;
-            let give_up_after = left.min(self.longest_call()).max(ANSWER_AHEAD);
+            let l = &self.ledger.live[&id];
+            let give_up_after = (l.last_use - self.now).min(self.patience(l)).max(ANSWER_AHEAD);
             out.push(Action::Call { id, give_up_after });
         }
         if self.may_call() {
@@ -881,6 +899,9 @@
         if outcome.never_ran() {
             self.calls.owed += MEASURE_EVERY;
         } else {
+            // One that was given up would have taken longer, by how much is not known.
+            let most = if outcome == Outcome::GivenUp { CALL_OVERDUE } else { f64::INFINITY };
+            let took = took.min(most * self.calls.took.unwrap_or(took));
             smooth(&mut self.calls.took, took);
             let mean = self.calls.took.unwrap_or(took);
             self.calls.least = if self.calls.least == 0.0 { mean } else { self.calls.least.min(mean) };
@@ -888,8 +909,18 @@
         if outcome == Outcome::GivenUp {
             self.calls.lingering.push_back(self.now + self.set.linger);
         }
+        // Ours: a reply that got lost on the way says nothing of what is below, so the call is made again
+        // while that may earn its full worth. Could harm where too many calls are what loses them: not while
+        // they are slow.
+        let lost = matches!(outcome, Outcome::Broken | Outcome::GivenUp) && !self.calls_slow();
+        let again = lost && class.repeat == Repeat::Safe && !l.answered && l.calls_lost < CALLS_LOST;
         if outcome == Outcome::Done {
             self.put(id, Stage::OnCore);
+        } else if again && self.in_time(l, self.now) {
+            self.put(id, Stage::WantsCall);
+            if let Some(l) = self.ledger.live.get_mut(&id) {
+                l.calls_lost += 1;
+            }
         } else if class.skip_worth > 0.0 && !l.answered {
             out.push(Action::SkipCall(id));
             self.put(id, Stage::OnCore);
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,8 @@
     pub lane: usize,
     pub core_time: f64,
     pub parked_time: f64,
+    /// Calls whose replies never came.
+    pub calls_lost: u32,
 }
 
 impl Live {
@@ -61,6 +63,7 @@
             lane,
             core_time: 0.0,
             parked_time: 0.0,
+            calls_lost: 0,
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -163,6 +163,31 @@
     }
 }
 
+/// A reply that got lost costs the part of the worth that a skipped call costs, or all, unless the call is made again.
+#[test]
+fn a_call_whose_reply_got_lost_is_made_again_where_it_may_be() {
+    let mut set = settings();
+    set.classes[0].skip_worth = 0.5;
+    let mut server = Server::new(set);
+    server.step(0.0, &[arrived(1, 0, 1), arrived(2, 2, 2)]);
+    let wanted = [1, 2].map(|id| Event::CallWanted { id: RequestId(id) });
+    assert_eq!(calls(&server.step(0.1, &wanted)), [1, 2]);
+    let lost = |id, outcome| Event::CallEnded { id: RequestId(id), outcome, took: 0.1 };
+    let actions = server.step(0.2, &[lost(1, Outcome::Broken), lost(2, Outcome::Broken)]);
+    assert_eq!((calls(&actions), failed(&actions)), (vec![1], vec![2]));
+    assert_eq!(calls(&server.step(0.3, &[lost(1, Outcome::GivenUp)])), [1]);
+    let actions = server.step(0.4, &[lost(1, Outcome::Broken)]);
+    assert!(actions.contains(&Action::SkipCall(RequestId(1))), "not for ever");
+    // Calls took 0.1 s here: one that may be made again is taken for lost after 6 x 0.1 s.
+    server.step(0.5, &[arrived(3, 0, 1)]);
+    let actions = server.step(0.6, &[Event::CallWanted { id: RequestId(3) }]);
+    let patience = actions.iter().find_map(|a| match a {
+        Action::Call { give_up_after, .. } => Some(*give_up_after),
+        _ => None,
+    });
+    assert!((patience.unwrap() - 0.6).abs() < 1e-9, "{patience:?}");
+}
+
 #[test]
 fn after_the_notice_nothing_that_arrives_past_the_grace_runs() {
     let mut server = Server::new(settings());
