Spend less CPU on each request, and give credit while the grace lasts

At fault: database.rs looked at every idle connection before each call; connection.rs read once more after every read, in vain; asked() made three strings for each field; commands were built as maps and then written.

Also: after the notice to leave, callers were told at once to send nothing (logic.rs, publish), though what comes within the grace may run and the others are full; now half a second before the grace ends. Calls are taken for lost after 20 means, from 50 ms on, and only broken ones are made again.

--- a/node/src/database.rs
+++ b/node/src/database.rs
@@ -135,12 +135,18 @@
 }
 
 impl Pool {
-    /// An idle connection that is surely open.
+    /// An idle connection that is surely open. Only those that are tried are looked at: each look is a system call.
     fn take(&mut self) -> Option<TcpStream> {
         let now = Instant::now();
-        self.idle.retain(|(since, stream)| now.duration_since(*since) < IDLE && socket::silent(stream));
-        let settled = self.idle.iter().rposition(|(since, _)| now.duration_since(*since) >= SETTLED);
-        settled.map(|place| self.idle.remove(place).1)
+        self.idle.retain(|(since, _)| now.duration_since(*since) < IDLE);
+        while let Some(place) = self.idle.iter().rposition(|(since, _)| now.duration_since(*since) >= SETTLED)
+        {
+            let (_, stream) = self.idle.remove(place);
+            if socket::silent(&stream) {
+                return Some(stream);
+            }
+        }
+        None
     }
 
     /// Keeps a connection to this address for another call, unless the database has moved meanwhile or enough are kept.
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::config::Config;
 use crate::database::{self, CallEnd};
 use crate::directory::Mode;
-use crate::interpreter::{Command, Message, RunEnd};
+use crate::interpreter::{self, Command, Message, RunEnd};
 use crate::keys::{Keys, NotTaken, Run, print};
 use crate::log;
 use crate::request::{Answer, Key, Reply, ReplyTo, Work};
@@ -178,6 +178,7 @@
     now: f64,
     settings: Settings,
     names: Names,
+    /// Their names, as the interpreter is told them.
     classes: Vec<Rc<str>>,
     stop: Duration,
     ways: Ways,
@@ -210,7 +211,7 @@
             now: CLOCK_START,
             settings: config.settings.clone(),
             names: config.names.clone(),
-            classes: config.settings.classes.iter().map(|c| c.name.as_str().into()).collect(),
+            classes: config.settings.classes.iter().map(|c| interpreter::quoted(&c.name)).collect(),
             stop: config.stop,
             ways,
             module: None,
--- a/node/src/fastcgi/connection.rs
+++ b/node/src/fastcgi/connection.rs
@@ -17,7 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -214,8 +214,6 @@
     waits_since: Option<Instant>,
     /// Bytes read that belong to no open request, since the last whole one.
     stray: usize,
-    /// Reads since the other tasks had their turn.
-    reads: u32,
     last_write: Instant,
 }
 
@@ -241,7 +239,6 @@
             closing: false,
             waits_since: Some(now),
             stray: 0,
-            reads: 0,
             last_write: now,
         }
     }
@@ -266,6 +263,7 @@
 
     async fn converse(&mut self) -> Result<End, End> {
         let mut idle = self.front.idle.clone();
+        let mut reads = 0;
         loop {
             // What is not whole by now never will be: waiting for it would keep the connection open for ever.
             let no_more = self.closing || self.read_closed;
@@ -275,16 +273,14 @@
             }
             self.slot.quiet.set(!owed);
             let may_read = !self.read_closed && !self.closing && self.output.len() < MAX_UNWRITTEN;
-            let interest = match (may_read, !self.output.is_empty()) {
-                (true, true) => Some(Interest::READABLE | Interest::WRITABLE),
-                (true, false) => Some(Interest::READABLE),
-                (false, true) => Some(Interest::WRITABLE),
-                (false, false) => None,
-            };
             if idle.borrow().standing && self.may_close() {
                 return Ok(End::Finished);
             }
+            if may_read {
+                self.input.reserve(CHUNK);
+            }
             let give_up = self.waits_since.filter(|_| !owed).map(|since| since + WHOLE_WITHIN);
+            let (mut reader, writer) = self.stream.split();
             tokio::select! {
                 biased;
                 Some((id, reply)) = self.replies.recv() => {
@@ -293,14 +289,17 @@
                         self.answer(id, &reply)?;
                     }
                 }
-                ready = async { self.stream.ready(interest.unwrap_or(Interest::READABLE)).await },
-                    if interest.is_some() =>
-                {
-                    let ready = ready?;
-                    if may_read && (ready.is_readable() || ready.is_read_closed()) {
-                        self.read().await?;
+                read = reader.read_buf(&mut self.input), if may_read => {
+                    if read? == 0 {
+                        // The end of the peer's sending is no abort: what was read is answered.
+                        self.read_closed = true;
+                    } else {
+                        self.slot.last_traffic.set(Instant::now());
+                        self.take_in().await?;
+                        self.give_way(&mut reads).await;
                     }
                 }
+                ready = writer.writable(), if !self.output.is_empty() => ready?,
                 changed = idle.changed() => {
                     let limit = idle.borrow().limit;
                     let lapsed = changed.is_err() || self.slot.last_traffic.get().elapsed() >= limit;
@@ -361,30 +360,19 @@
         quiet && (self.read_closed || silent(&self.stream))
     }
 
-    /// Reads what is there and takes in all that is whole. The end of the peer's sending is no abort: what was read
-    /// is answered.
-    async fn read(&mut self) -> Result<(), End> {
-        self.reads += 1;
-        if self.reads > READS_A_TURN {
-            // Guards against a peer that sends without end and would keep all others from the thread.
-            self.reads = 0;
+    /// Guards against a peer that sends without end and would keep all others from the thread.
+    async fn give_way(&self, reads: &mut u32) {
+        *reads += 1;
+        if *reads > READS_A_TURN {
+            *reads = 0;
             tokio::task::yield_now().await;
         }
-        self.input.reserve(CHUNK);
-        match self.stream.try_read_buf(&mut self.input) {
-            Ok(0) => self.read_closed = true,
-            Ok(_) => {
-                self.slot.last_traffic.set(Instant::now());
-                self.take_in().await?;
-            }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.reads = 0,
-            Err(e) => return Err(e.into()),
-        }
-        Ok(())
     }
 
+    /// Takes in all that is whole.
     async fn take_in(&mut self) -> Result<(), End> {
-        let input = std::mem::take(&mut self.input);
+        // The buffer is kept for what comes next, but not one that a large record made large.
+        let mut input = std::mem::take(&mut self.input);
         let mut rest = &input[..];
         while !self.closing {
             match next_record(&mut rest) {
@@ -394,7 +382,12 @@
             }
         }
         if !self.closing {
-            self.input = rest.to_vec();
+            let taken = input.len() - rest.len();
+            input.drain(..taken);
+            if input.len() < CHUNK {
+                input.shrink_to(2 * CHUNK);
+            }
+            self.input = input;
         }
         Ok(())
     }
@@ -506,6 +499,12 @@
     }
 }
 
+/// Whether a parameter is the one that CGI makes of a header: `HTTP_X_ORG` of `X-Org`.
+fn is_cgi_name(param: &[u8], header: &str) -> bool {
+    let cgi = |b: u8| if b == b'-' { b'_' } else { b.to_ascii_uppercase() };
+    param.strip_prefix(b"HTTP_").is_some_and(|name| name.iter().copied().eq(header.bytes().map(cgi)))
+}
+
 /// Reads a request from its parameters, which are named as CGI names headers.
 fn asked(params: &[u8], body: Vec<u8>, front: &Front) -> Result<Asked, BadRequest> {
     let Some(pairs) = pairs(params) else {
@@ -515,7 +514,10 @@
         let (_, value) = pairs.iter().find(|(n, _)| *n == name.as_bytes())?;
         std::str::from_utf8(value).ok()
     };
-    let field = |name: &str| param(&format!("HTTP_{}", name.to_ascii_uppercase().replace('-', "_")));
+    let field = |name: &str| {
+        let (_, value) = pairs.iter().find(|(n, _)| is_cgi_name(n, name))?;
+        std::str::from_utf8(value).ok()
+    };
     let path = param("SCRIPT_NAME").unwrap_or_default();
     let method = param("REQUEST_METHOD").unwrap_or_default();
     request::read(path, method, field, body, &front.settings, &front.names)
--- a/node/src/interpreter.rs
+++ b/node/src/interpreter.rs
@@ -10,7 +10,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use std::collections::{HashMap, VecDeque};
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,7 +40,7 @@
     Apply {
         /// The request.
         uid: Rc<str>,
-        /// The name of its class.
+        /// The name of its class, in quotes; see [`quoted`].
         class: Rc<str>,
         /// Its body.
         body: Rc<[u8]>,
@@ -83,39 +83,38 @@
         }
     }
 
-    /// Appends the line of a command; `vouches` is the number of commands before it.
+    /// Appends the line of a command; `vouches` is the number of commands before it. Ids are hex digits and contents
+    /// base64, so that nothing in them needs escaping, and [`Command::Apply`] has its class escaped.
     fn write(&self, out: &mut Vec<u8>, vouches: u64) {
-        let line = match self {
-            Command::Apply { uid, class, body } => message(
-                "APPLY",
-                [("uid", text(uid)), ("lane", text(class)), ("content", text(&BASE64.encode(body)))],
-            ),
-            Command::Break { uid } => message("BREAK", [("uid", text(uid))]),
+        // Writing to a Vec cannot fail.
+        let _ = match self {
+            Command::Apply { uid, class, body } => {
+                let _ = write!(
+                    out,
+                    r#"{{"action":"APPLY","uid":"{uid}","lane":{class},"content":"{}"}}"#,
+                    base64(body)
+                );
+                writeln!(out)
+            }
+            Command::Break { uid } => writeln!(out, r#"{{"action":"BREAK","uid":"{uid}"}}"#),
             Command::Resolve { uid, content } => {
-                message("RESOLVE", [("uid", text(uid)), ("content", text(&BASE64.encode(content)))])
+                writeln!(out, r#"{{"action":"RESOLVE","uid":"{uid}","content":"{}"}}"#, base64(content))
             }
-            Command::Stub { uid, pos } => message("STUB", [("uid", text(uid)), ("pos", number(*pos))]),
-            Command::Gauges { tag } => message("TOP", [("echo", text(&format!("{tag}-{vouches}")))]),
+            Command::Stub { uid, pos } => writeln!(out, r#"{{"action":"STUB","uid":"{uid}","pos":{pos}}}"#),
+            Command::Gauges { tag } => writeln!(out, r#"{{"action":"TOP","echo":"{tag}-{vouches}"}}"#),
         };
-        out.extend(line.into_bytes());
     }
 }
 
-fn text(value: &str) -> JsonValue {
-    JsonValue::String(value.to_string())
-}
-
-fn number(value: u64) -> JsonValue {
-    // Notices are far fewer than what a double counts exactly.
-    JsonValue::Number(value as f64)
+/// Bytes as they stand in a line.
+fn base64(bytes: &[u8]) -> base64::display::Base64Display<'_, '_, base64::engine::GeneralPurpose> {
+    base64::display::Base64Display::new(bytes, &BASE64)
 }
 
-fn message<const N: usize>(action: &str, fields: [(&str, JsonValue); N]) -> String {
-    let action = [("action", text(action))];
-    let fields = action.into_iter().chain(fields).map(|(key, value)| (key.to_string(), value));
-    let line = JsonValue::Object(fields.collect()).stringify();
-    // Only a number that is not finite cannot be written, and none is.
-    line.unwrap_or_default() + "\n"
+/// The name of a class as it stands in a line.
+pub fn quoted(class: &str) -> Rc<str> {
+    // Only a number that is not finite cannot be written.
+    JsonValue::String(class.to_string()).stringify().unwrap_or_default().into()
 }
 
 /// How a run ended.
@@ -353,7 +352,8 @@
         moved: impl Future<Output = ()>,
     ) -> io::Result<()> {
         let mut moved = std::pin::pin!(moved);
-        self.output.extend(message("CONNECT", [("pos", number(memory.pos))]).into_bytes());
+        // Writing to a Vec cannot fail.
+        let _ = writeln!(self.output, r#"{{"action":"CONNECT","pos":{}}}"#, memory.pos);
         let mut caught_up = false;
         loop {
             let (mut reader, mut writer) = self.stream.split();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,7 +59,9 @@
 const CALLS_SLOWED: f64 = 2.5;
 /// Times what calls take here in the mean, after which one that may be made again is taken for lost. Ours:
 /// times vary less than that, unless all become longer, and then the mean follows.
-const CALL_PATIENCE: f64 = 6.0;
+const CALL_PATIENCE: f64 = 20.0;
+/// s; no call is taken for lost before. Ours: some ticks and the way there and back.
+const CALL_LEAST: f64 = 0.05;
 /// Times the mean that a call given up counts for at most. Ours: the mean follows if all are, not if a few.
 const CALL_OVERDUE: f64 = 2.0;
 /// Calls of a request that may be lost and made again. Ours.
@@ -70,6 +72,9 @@
 const TENANT_MEMORY: f64 = 5.0;
 /// s; wakes are asked for no finer than twice this. Ours: under any tick.
 const WAKE_SLACK: f64 = 0.0005;
+/// s; so long before the grace ends callers are told to send nothing more. Ours: until then what they send is
+/// run, and the others need not take it yet.
+const GRACE_AHEAD: f64 = 0.5;
 /// s; all is answered this long before the process is stopped. Ours.
 const LEAVE_AHEAD: f64 = 0.06;
 
@@ -807,7 +812,8 @@
             self.meter.pressed_until = self.now + PRESSED_FOR;
         }
         let (credit, calm) = (self.credit(), self.calm_credit());
-        let open = if self.leaving.is_some() { 0.0 } else { credit / calm };
+        let away = self.leaving.as_ref().is_some_and(|l| self.now >= l.grace_until - GRACE_AHEAD);
+        let open = if away { 0.0 } else { credit / calm };
         let value = match self.set.say {
             Say::Nothing => return,
             Say::Credit => open * calm,
@@ -852,7 +858,7 @@
     fn patience(&self, l: &Live) -> f64 {
         let safe = self.set.classes[l.request.class].repeat == Repeat::Safe;
         let usual = self.calls.took.filter(|_| safe).map_or(f64::INFINITY, |took| took * CALL_PATIENCE);
-        usual.max(DELAY_BUDGET / 2.0).min(self.longest_call())
+        usual.max(CALL_LEAST).min(self.longest_call())
     }
 
     /// Whether calls take far longer than they once did.
@@ -912,7 +918,7 @@
         // Ours: a reply that got lost on the way says nothing of what is below, so the call is made again
         // while that may earn its full worth. Could harm where too many calls are what loses them: not while
         // they are slow.
-        let lost = matches!(outcome, Outcome::Broken | Outcome::GivenUp) && !self.calls_slow();
+        let lost = outcome == Outcome::Broken && !self.calls_slow();
         let again = lost && class.repeat == Repeat::Safe && !l.answered && l.calls_lost < CALLS_LOST;
         if outcome == Outcome::Done {
             self.put(id, Stage::OnCore);
