--- a/node/tests/nodo.rs
+++ b/node/tests/nodo.rs
@@ -159,13 +159,11 @@
 #[test]
 fn sighup_moves_what_the_file_says_and_never_ends_the_program() {
     local(async {
-        let (front, address) = listener().await;
         let (here, vm) = listener().await;
         let (elsewhere, new_vm) = listener().await;
         let (directory, lookup) = listener().await;
-        drop(front);
         let text = |vm: SocketAddr| {
-            config_text(&address.to_string(), &vm.to_string(), &lookup.to_string(), &lookup.to_string())
+            config_text("127.0.0.1:0", &vm.to_string(), &lookup.to_string(), &lookup.to_string())
         };
         let path =
             std::env::temp_dir().join(format!("jaspershunt-{}-{}.json", std::process::id(), vm.port()));
