Give the engine's queue a file of its own, which nothing of the engine is needed for

The engine imported the interpreter and the database, and both imported the engine for the type of its queue. Input, and the messages that it carries, now stand in engine/input.rs, which imports only the request's types; the tasks round the engine know that file and not the engine.

--- a/crates/node/src/database.rs
+++ b/crates/node/src/database.rs
@@ -1,7 +1,7 @@
 //! Calls to the database that all nodos share.
 
 use crate::config::Peers;
-use crate::engine::Input;
+use crate::engine::input::{CallEnd, Input};
 use crate::http;
 use crate::socket;
 use jaspershunt::{Outcome, RequestId};
@@ -41,15 +41,6 @@
     pub given_up: oneshot::Receiver<()>,
 }
 
-/// How a call ended.
-#[derive(Debug, PartialEq)]
-pub struct CallEnd {
-    /// How.
-    pub outcome: Outcome,
-    /// The reply, if it went well.
-    pub body: Vec<u8>,
-}
-
 /// The pool of connections: the idle ones, the last used last.
 struct Pool {
     address: SocketAddr,
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -6,9 +6,9 @@
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::database::{self, CallEnd};
+use crate::database;
 use crate::directory::Mode;
-use crate::interpreter::{self, Command, Message, RunEnd};
+use crate::interpreter::{self, Command};
 use crate::keys::{Keys, NotTaken, Run, print};
 use crate::log;
 use crate::request::{Answer, Key, Reply, ReplyTo, Work};
@@ -20,8 +20,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep};
 
-/// What may wait for the engine at once; those who have more to say wait.
-pub const QUEUE: usize = 1024;
+pub mod input;
+use input::{CallEnd, Input, Message, QUEUE, RunEnd};
+
 /// Calls that wait to be made.
 pub const CALLS: usize = 1024;
 /// A wake waits so long for the gauges; then it goes without.
@@ -41,64 +42,6 @@
 /// The module's clock shows this at the start, so that the start of the interpreter is not before 0.
 const CLOCK_START: f64 = 1e5;
 
-/// What reaches the engine.
-#[derive(Debug)]
-pub enum Input {
-    /// A try of a request was read.
-    Work {
-        /// Its id in this program.
-        id: RequestId,
-        /// The try.
-        work: Work,
-        /// Where its reply goes.
-        reply: ReplyTo,
-    },
-    /// A health check was read.
-    Check {
-        /// Where its reply goes.
-        reply: ReplyTo,
-    },
-    /// The caller of a try has gone.
-    Gone {
-        /// The try.
-        id: RequestId,
-    },
-    /// The interpreter told something.
-    Heard(Message),
-    /// The link to the interpreter is up, and all that was missed has been heard.
-    LinkUp,
-    /// It is down.
-    LinkDown,
-    /// A call ended.
-    CallEnded {
-        /// Its request.
-        id: RequestId,
-        /// Which call of the request it was.
-        number: u64,
-        /// How it ended.
-        end: CallEnd,
-        /// How long it took, in seconds.
-        took: f64,
-    },
-    /// The time of an [`Action::Wake`] has come.
-    Woke {
-        /// Its token.
-        token: u64,
-    },
-    /// The gauges asked for with this tag have been waited for long enough.
-    NoGauges {
-        /// The tag.
-        tag: u64,
-    },
-    /// The end of a run that was answered has been waited for long enough.
-    Lost {
-        /// The request.
-        id: RequestId,
-    },
-    /// The nodo is to leave.
-    Leave,
-}
-
 /// Which of balancers' idle connections are closed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Idle {
--- /dev/null
+++ b/crates/node/src/engine/input.rs
@@ -0,0 +1,140 @@
+//! What reaches the engine, through its one queue. The tasks that speak with the interpreter, the database and the
+//! balancers know this file and not the engine.
+
+use crate::request::{ReplyTo, Work};
+use jaspershunt::{Outcome, RequestId};
+use std::rc::Rc;
+
+/// What may wait for the engine at once; those who have more to say wait.
+pub const QUEUE: usize = 1024;
+
+/// What reaches the engine.
+#[derive(Debug)]
+pub enum Input {
+    /// A try of a request was read.
+    Work {
+        /// Its id in this program.
+        id: RequestId,
+        /// The try.
+        work: Work,
+        /// Where its reply goes.
+        reply: ReplyTo,
+    },
+    /// A health check was read.
+    Check {
+        /// Where its reply goes.
+        reply: ReplyTo,
+    },
+    /// The caller of a try has gone.
+    Gone {
+        /// The try.
+        id: RequestId,
+    },
+    /// The interpreter told something.
+    Heard(Message),
+    /// The link to the interpreter is up, and all that was missed has been heard.
+    LinkUp,
+    /// It is down.
+    LinkDown,
+    /// A call ended.
+    CallEnded {
+        /// Its request.
+        id: RequestId,
+        /// Which call of the request it was.
+        number: u64,
+        /// How it ended.
+        end: CallEnd,
+        /// How long it took, in seconds.
+        took: f64,
+    },
+    /// The time of an [`Action::Wake`] has come.
+    Woke {
+        /// Its token.
+        token: u64,
+    },
+    /// The gauges asked for with this tag have been waited for long enough.
+    NoGauges {
+        /// The tag.
+        tag: u64,
+    },
+    /// The end of a run that was answered has been waited for long enough.
+    Lost {
+        /// The request.
+        id: RequestId,
+    },
+    /// The nodo is to leave.
+    Leave,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RunEnd {
+    /// Well, with this result.
+    Done(Vec<u8>),
+    /// It failed.
+    Failed,
+    /// It was stopped, or ended at a call as its request is over.
+    Stopped,
+    /// Nothing was started.
+    NotStarted,
+}
+
+/// What the interpreter tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// The interpreter is up.
+    Banner {
+        /// It started cold.
+        cold: bool,
+        /// How long ago it started, in seconds.
+        age: f64,
+    },
+    /// A run is over.
+    Value {
+        /// The number of the notice.
+        pos: u64,
+        /// The request.
+        uid: Rc<str>,
+        /// How it ended.
+        end: RunEnd,
+    },
+    /// A run waits for a call.
+    Await {
+        /// The number of the notice.
+        pos: u64,
+        /// The request.
+        uid: Rc<str>,
+        /// The body of the call.
+        content: Vec<u8>,
+    },
+    /// The gauges, in the order of the settings; those without a reading are missing.
+    Gauges {
+        /// The tag of the command.
+        tag: u64,
+        /// The number of commands before it.
+        vouches: u64,
+        /// The readings.
+        readings: Vec<Option<f64>>,
+    },
+    /// A command was not carried out.
+    Rejected {
+        /// The command.
+        command: String,
+        /// Its request.
+        uid: Rc<str>,
+    },
+    /// A remark.
+    Remark {
+        /// The number of the notice.
+        pos: u64,
+    },
+}
+
+/// How a call ended.
+#[derive(Debug, PartialEq)]
+pub struct CallEnd {
+    /// How.
+    pub outcome: Outcome,
+    /// The reply, if it went well.
+    pub body: Vec<u8>,
+}
--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -4,7 +4,8 @@
 use super::records::{LostFraming, Record, next_record, pairs, put_reply};
 use super::requests::{Budget, MAX_OPEN, Requests, Step, Whole};
 use crate::config::Config;
-use crate::engine::{Idle, Input};
+use crate::engine::Idle;
+use crate::engine::input::Input;
 use crate::log;
 use crate::log::Limiter;
 use crate::request::{self, Answer, Asked, BadRequest, Reply, ReplyTo};
--- a/crates/node/src/interpreter.rs
+++ b/crates/node/src/interpreter.rs
@@ -5,7 +5,7 @@
 //! sends again what may not have arrived and still makes sense.
 
 use crate::config::Peers;
-use crate::engine::Input;
+use crate::engine::input::{Input, Message, RunEnd};
 use crate::log;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
@@ -117,70 +117,6 @@
     JsonValue::String(class.to_string()).stringify().unwrap_or_default().into()
 }
 
-/// How a run ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum RunEnd {
-    /// Well, with this result.
-    Done(Vec<u8>),
-    /// It failed.
-    Failed,
-    /// It was stopped, or ended at a call as its request is over.
-    Stopped,
-    /// Nothing was started.
-    NotStarted,
-}
-
-/// What the interpreter tells.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Message {
-    /// The interpreter is up.
-    Banner {
-        /// It started cold.
-        cold: bool,
-        /// How long ago it started, in seconds.
-        age: f64,
-    },
-    /// A run is over.
-    Value {
-        /// The number of the notice.
-        pos: u64,
-        /// The request.
-        uid: Rc<str>,
-        /// How it ended.
-        end: RunEnd,
-    },
-    /// A run waits for a call.
-    Await {
-        /// The number of the notice.
-        pos: u64,
-        /// The request.
-        uid: Rc<str>,
-        /// The body of the call.
-        content: Vec<u8>,
-    },
-    /// The gauges, in the order of the settings; those without a reading are missing.
-    Gauges {
-        /// The tag of the command.
-        tag: u64,
-        /// The number of commands before it.
-        vouches: u64,
-        /// The readings.
-        readings: Vec<Option<f64>>,
-    },
-    /// A command was not carried out.
-    Rejected {
-        /// The command.
-        command: String,
-        /// Its request.
-        uid: Rc<str>,
-    },
-    /// A remark.
-    Remark {
-        /// The number of the notice.
-        pos: u64,
-    },
-}
-
 /// Reads a line.
 ///
 /// # Errors
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,7 +2,8 @@
 
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError, Peers};
-use crate::engine::{self, Engine, Idle, Input, Ways};
+use crate::engine::input::{self, Input};
+use crate::engine::{self, Engine, Idle, Ways};
 use crate::fastcgi::connection::{Front, accept};
 use crate::{database, directory, interpreter, log};
 use std::rc::Rc;
@@ -46,7 +47,7 @@
     peers: watch::Receiver<Peers>,
     leave: impl Future<Output = ()>,
 ) {
-    let (engine_in, engine_out) = mpsc::channel(engine::QUEUE);
+    let (engine_in, engine_out) = mpsc::channel(input::QUEUE);
     let (commands_in, commands_out) = mpsc::channel(interpreter::QUEUE);
     let (calls_in, calls_out) = mpsc::channel(engine::CALLS);
     let (mode_in, mode_out) = watch::channel(None);
--- a/crates/node/tests/nodo.rs
+++ b/crates/node/tests/nodo.rs
@@ -3,7 +3,8 @@
 mod common;
 use common::*;
 use jaspershunt_node::config;
-use jaspershunt_node::engine::{Idle, Input};
+use jaspershunt_node::engine::Idle;
+use jaspershunt_node::engine::input::Input;
 use jaspershunt_node::fastcgi::connection::{Front, accept};
 use jaspershunt_node::fastcgi::records::{kind, put_record};
 use jaspershunt_node::request::{Answer, Reply, ReplyTo};
--- a/crates/node/tests/parsers.rs
+++ b/crates/node/tests/parsers.rs
@@ -3,10 +3,11 @@
 
 mod common;
 use common::*;
+use jaspershunt_node::engine::input::{Message, RunEnd};
 use jaspershunt_node::fastcgi::records::{self, kind, put_pair, put_record};
 use jaspershunt_node::fastcgi::requests::{Budget, MAX_OPEN, Requests, Step};
 use jaspershunt_node::http;
-use jaspershunt_node::interpreter::{Message, RunEnd, read_line};
+use jaspershunt_node::interpreter::read_line;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
