Read the operator's own file: HCL with units, places and defaults

An installation with several dependencies has more to say than the platform's settings can. crates/operator reads an HCL file through four steps (grammar, types and keys, ranges, what only shows between blocks); every mistake names file, line, column, key and what was expected, and explain writes the file out with every default filled in.

Nothing uses the file yet.

--- /dev/null
+++ b/crates/operator/src/check.rs
@@ -0,0 +1,148 @@
+//! What only shows between the blocks of a file, and between the file and the platform's settings.
+
+use crate::{File, Repeat};
+use std::collections::BTreeSet;
+
+/// The label of the call block that stands for all calls without one of their own.
+pub const ANY: &str = "any";
+/// Calls of a run that can be told apart.
+pub const MAX_PLACE: usize = 64;
+
+/// All that does not fit together, with the way to the key.
+pub fn between_blocks(file: &File) -> Vec<(String, String)> {
+    let mut wrong = Vec::new();
+    dependencies(file, &mut wrong);
+    routes(file, &mut wrong);
+    wrong
+}
+
+fn dependencies(file: &File, wrong: &mut Vec<(String, String)>) {
+    let mut told = |name: &str, key: &str, what: String| {
+        wrong.push((format!("dependency.{name}.{key}"), what));
+    };
+    let whole: f64 = file.dependency.values().map(|d| d.share.0).sum();
+    let mut in_cycles: BTreeSet<&str> = BTreeSet::new();
+    for (name, d) in &file.dependency {
+        // The name stands in a header of answers as it is.
+        if name.is_empty()
+            || name.len() > 64
+            || !name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._".contains(&b))
+        {
+            told(name, "", "must be named by 1 to 64 letters, digits, '-', '.' or '_'".to_string());
+        }
+        if let Some(next) = &d.fall_back {
+            if !file.dependency.contains_key(next) {
+                told(name, "fall_back", format!("names {next:?}, which is no dependency of this file"));
+            } else if !in_cycles.contains(name.as_str())
+                && let Some(cycle) = cycle_from(file, name)
+            {
+                let way: Vec<&str> = cycle.iter().copied().chain([cycle[0]]).collect();
+                told(name, "fall_back", format!("goes round in a cycle: {}", way.join(" → ")));
+                in_cycles.extend(cycle);
+            }
+        }
+        if d.limit.least > d.calls {
+            told(name, "limit.least", format!("must be at most calls, which is {}", d.calls));
+        }
+        if d.breaker.longest < d.breaker.wait {
+            told(name, "breaker.longest", format!("must be at least wait, which is {}", d.breaker.wait));
+        }
+        if d.addresses.iter().any(|address| address.port() == 0) {
+            told(name, "addresses", "must have a port above 0".to_string());
+        }
+    }
+    if whole > 1.0 + 1e-9
+        && let Some(name) = file.dependency.keys().next_back()
+    {
+        let what = format!("brings the shares of all dependencies to {:.0}%: at most 100%", whole * 100.0);
+        told(name, "share", what);
+    }
+}
+
+/// The dependencies of a cycle of fall-backs in which this one is, beginning with it.
+fn cycle_from<'a>(file: &'a File, name: &'a str) -> Option<Vec<&'a str>> {
+    let mut way = vec![name];
+    let mut at = name;
+    while let Some(next) = file.dependency.get(at)?.fall_back.as_deref() {
+        if next == name {
+            return Some(way);
+        }
+        if way.contains(&next) {
+            // A cycle, but not through this one.
+            return None;
+        }
+        way.push(next);
+        at = next;
+    }
+    None
+}
+
+fn routes(file: &File, wrong: &mut Vec<(String, String)>) {
+    for (class, route) in &file.route {
+        let mut told = |key: &str, what: String| wrong.push((format!("route.{class}.{key}"), what));
+        let safe = route.repeat == Repeat::Safe;
+        let kind = if route.repeat == Repeat::Keyed { "a keyed" } else { "an unsafe" };
+        if route.without && !safe {
+            told("without", format!("{kind} class must never be answered without a call"));
+        }
+        for (place, call) in &route.call {
+            let number = place
+                .parse::<usize>()
+                .ok()
+                .filter(|n| (1..=MAX_PLACE).contains(n) && n.to_string() == *place);
+            if place != ANY && number.is_none() {
+                let what =
+                    format!("must be labelled by its place in the run, \"1\" to \"{MAX_PLACE}\", or {ANY:?}");
+                told(&format!("call.{place}"), what);
+            }
+            if !file.dependency.contains_key(&call.to) {
+                let what = format!("names {:?}, which is no dependency of this file", call.to);
+                told(&format!("call.{place}.to"), what);
+            }
+            if call.kept.is_some() && !safe {
+                let what = format!("{kind} class must never be answered from a kept reply");
+                told(&format!("call.{place}.kept"), what);
+            }
+        }
+        if !route.call.contains_key(ANY) {
+            told("call", format!("needs a block call {ANY:?} for the calls that have no block of their own"));
+        }
+    }
+}
+
+/// A class as the platform's settings have it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Whether it may run again.
+    pub repeat: Repeat,
+    /// Whether its requests call what lies below.
+    pub calls: bool,
+}
+
+/// What does not fit between the file and the classes of the platform's settings, with the way to the key.
+pub fn against_settings(file: &File, classes: &[Class]) -> Vec<(String, String)> {
+    let mut wrong = Vec::new();
+    for (name, route) in &file.route {
+        match classes.iter().find(|class| class.name == name) {
+            None => {
+                let names: Vec<&str> = classes.iter().map(|class| class.name).collect();
+                let what = format!("is no class of the settings, which have {}", names.join(", "));
+                wrong.push((format!("route.{name}"), what));
+            }
+            Some(class) if class.repeat != route.repeat => {
+                let what = format!("is {:?} in the settings", class.repeat).to_lowercase();
+                wrong.push((format!("route.{name}.repeat"), what));
+            }
+            Some(_) => {}
+        }
+    }
+    // A class without a route would have calls that go nowhere.
+    for class in classes.iter().filter(|class| class.calls && !file.dependency.is_empty()) {
+        if !file.route.contains_key(class.name) {
+            wrong.push((format!("route.{}", class.name), "is missing: the class makes calls".to_string()));
+        }
+    }
+    wrong
+}
--- /dev/null
+++ b/crates/operator/src/source.rs
@@ -0,0 +1,391 @@
+//! From the text of a file to the types of this crate: a serde deserializer over HCL that knows where everything stands.
+//!
+//! An attribute is a field. A block is a field too: without a label it is a struct, with a label it is an entry of a map.
+//! Every value's place is remembered under the way to it, so that checks which come later can name it.
+
+use hcl_edit::Span as _;
+use hcl_edit::expr::Expression;
+use hcl_edit::structure::{Block, Body, Structure};
+use serde::de::value::StrDeserializer;
+use serde::de::{
+    self, DeserializeOwned, DeserializeSeed, Error as _, MapAccess, SeqAccess, Unexpected, Visitor,
+};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A mistake at a place of the text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Mistake {
+    /// The byte of the text.
+    pub at: usize,
+    /// The way to the key.
+    pub key: String,
+    /// What is wrong.
+    pub what: String,
+}
+
+/// Where the values of a file stand, by the way to them.
+#[derive(Clone, Debug, Default)]
+pub struct Places(BTreeMap<String, usize>);
+
+impl Places {
+    /// The place of a key, or of the nearest one round it where it is not written.
+    pub fn nearest(&self, key: &str) -> usize {
+        let mut key = key;
+        loop {
+            if let Some(at) = self.0.get(key) {
+                return *at;
+            }
+            let Some((outer, _)) = key.rsplit_once('.') else { return 0 };
+            key = outer;
+        }
+    }
+}
+
+/// The line and the column, both from 1, of a byte of the text.
+pub fn line_and_column(text: &str, at: usize) -> (usize, usize) {
+    let mut at = at.min(text.len());
+    while !text.is_char_boundary(at) {
+        at -= 1;
+    }
+    let before = &text[..at];
+    let line_start = before.rfind('\n').map_or(0, |end| end + 1);
+    (before.matches('\n').count() + 1, before[line_start..].chars().count() + 1)
+}
+
+/// Reads a value of any type from a body, with the places of what was read.
+///
+/// # Errors
+/// The first key or value that does not fit the type.
+pub fn read<T: DeserializeOwned>(body: &Body) -> Result<(T, Places), Mistake> {
+    let places = RefCell::default();
+    let way = Way { places: &places, key: String::new(), at: 0 };
+    let value = T::deserialize(Value { what: What::Body(body), way: &way }).map_err(|e| way.mistake(e))?;
+    Ok((value, places.take()))
+}
+
+/// The way to a value and the place where it stands.
+struct Way<'a> {
+    places: &'a RefCell<Places>,
+    key: String,
+    at: usize,
+}
+
+impl<'a> Way<'a> {
+    fn to(&self, name: &str, at: Option<usize>) -> Way<'a> {
+        let key = if self.key.is_empty() { name.to_string() } else { format!("{}.{name}", self.key) };
+        let at = at.unwrap_or(self.at);
+        self.places.borrow_mut().0.insert(key.clone(), at);
+        Way { places: self.places, key, at }
+    }
+
+    /// Gives a mistake this place, unless it has one further in.
+    fn mistake(&self, fault: Fault) -> Mistake {
+        match fault {
+            Fault::Placed(mistake) => mistake,
+            Fault::Here(what) => Mistake { at: self.at, key: self.key.clone(), what },
+            Fault::Unknown { name, expected } => {
+                let at = self.places.borrow().nearest(&self.to_key(&name));
+                let near = expected
+                    .iter()
+                    .map(|known| (strsim::damerau_levenshtein(known, &name), *known))
+                    .min()
+                    // Further away than this, it is more likely another word than a slip.
+                    .filter(|(distance, known)| *distance <= known.len().div_ceil(3));
+                let what = match near {
+                    Some((_, near)) => format!("is not known; did you mean {near:?}?"),
+                    None => format!("is not known; expected one of {}", expected.join(", ")),
+                };
+                Mistake { at, key: self.to_key(&name), what }
+            }
+        }
+    }
+
+    fn to_key(&self, name: &str) -> String {
+        if self.key.is_empty() { name.to_string() } else { format!("{}.{name}", self.key) }
+    }
+
+    fn placed<T>(&self, read: Result<T, Fault>) -> Result<T, Fault> {
+        read.map_err(|fault| Fault::Placed(self.mistake(fault)))
+    }
+}
+
+/// What serde reports, before it is known where.
+#[derive(Debug)]
+enum Fault {
+    Here(String),
+    Unknown { name: String, expected: &'static [&'static str] },
+    Placed(Mistake),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Here(what) => f.write_str(what),
+            Fault::Unknown { name, .. } => write!(f, "{name} is not known"),
+            Fault::Placed(mistake) => f.write_str(&mistake.what),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl de::Error for Fault {
+    fn custom<T: fmt::Display>(what: T) -> Fault {
+        Fault::Here(what.to_string())
+    }
+
+    fn invalid_type(found: Unexpected, expected: &dyn de::Expected) -> Fault {
+        // The words of a program for what is simply a number.
+        let expected = match expected.to_string().as_str() {
+            "usize" | "u64" => "a whole number of 0 or more".to_string(),
+            "a sequence" => "a list".to_string(),
+            "socket address" => "an IP address with a port".to_string(),
+            other => other.to_string(),
+        };
+        Fault::Here(format!("must be {expected}, not {}", named(found)))
+    }
+
+    fn invalid_value(found: Unexpected, expected: &dyn de::Expected) -> Fault {
+        Fault::invalid_type(found, expected)
+    }
+
+    fn unknown_field(name: &str, expected: &'static [&'static str]) -> Fault {
+        Fault::Unknown { name: name.to_string(), expected }
+    }
+
+    fn unknown_variant(name: &str, expected: &'static [&'static str]) -> Fault {
+        Fault::Here(format!("must be one of {}, not {name:?}", expected.join(", ")))
+    }
+
+    fn missing_field(name: &'static str) -> Fault {
+        Fault::Here(format!("{name} is missing"))
+    }
+}
+
+/// What was found, in the words of someone who writes the file.
+fn named(found: Unexpected) -> String {
+    match found {
+        Unexpected::Str(text) => format!("{text:?}"),
+        Unexpected::Unsigned(n) => format!("the bare number {n}"),
+        Unexpected::Signed(n) => format!("the bare number {n}"),
+        Unexpected::Float(n) => format!("the bare number {n}"),
+        Unexpected::Bool(flag) => flag.to_string(),
+        Unexpected::Unit => "null".to_string(),
+        Unexpected::Seq => "a list".to_string(),
+        Unexpected::Map => "a block".to_string(),
+        other => other.to_string(),
+    }
+}
+
+/// What a value is made from.
+#[derive(Clone, Copy)]
+enum What<'a> {
+    Body(&'a Body),
+    /// All blocks of one name.
+    Blocks(&'a [&'a Block]),
+    Plain(&'a Expression),
+}
+
+struct Value<'a> {
+    what: What<'a>,
+    way: &'a Way<'a>,
+}
+
+impl<'a> Value<'a> {
+    /// The one block without a label that this is.
+    fn body(&self) -> Result<&'a Body, Fault> {
+        match self.what {
+            What::Body(body) => Ok(body),
+            What::Blocks([block]) if block.labels.is_empty() => Ok(&block.body),
+            What::Blocks([block, ..]) if !block.labels.is_empty() => {
+                Err(Fault::Here("takes no label".to_string()))
+            }
+            What::Blocks(_) => Err(Fault::Here("must stand once".to_string())),
+            What::Plain(_) => Err(Fault::Here("must be a block, as in NAME { … }".to_string())),
+        }
+    }
+}
+
+impl<'de> de::Deserializer<'de> for Value<'_> {
+    type Error = Fault;
+
+    fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        let What::Plain(value) = self.what else {
+            return Err(Fault::invalid_type(Unexpected::Map, &visitor));
+        };
+        match value {
+            Expression::Null(_) => visitor.visit_unit(),
+            Expression::Bool(flag) => visitor.visit_bool(*flag.value()),
+            Expression::String(text) => visitor.visit_str(text.value()),
+            Expression::Number(number) => {
+                let number = number.value();
+                match (number.as_u64(), number.as_i64(), number.as_f64()) {
+                    (Some(n), _, _) => visitor.visit_u64(n),
+                    (_, Some(n), _) => visitor.visit_i64(n),
+                    (_, _, n) => visitor.visit_f64(n.unwrap_or(f64::NAN)),
+                }
+            }
+            Expression::Array(array) => {
+                visitor.visit_seq(Items { items: array.iter(), place: 0, way: self.way })
+            }
+            _ => Err(Fault::Here("must be a plain value: nothing is computed here".to_string())),
+        }
+    }
+
+    fn deserialize_option<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        visitor.visit_some(self)
+    }
+
+    fn deserialize_struct<V: Visitor<'de>>(
+        self,
+        _name: &'static str,
+        _fields: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        let fields = fields(self.body()?, self.way)?;
+        let read = visitor.visit_map(Fields { rest: &fields, way: self.way });
+        self.way.placed(read)
+    }
+
+    /// A map is made of blocks with a label each.
+    fn deserialize_map<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        let What::Blocks(blocks) = self.what else {
+            return Err(Fault::Here("must be a block with a label, as in NAME \"label\" { … }".to_string()));
+        };
+        let mut labelled: BTreeMap<&str, &Block> = BTreeMap::new();
+        for block in blocks {
+            let [label] = &block.labels[..] else {
+                let way = Way { at: start(block.span()), key: self.way.key.clone(), ..*self.way };
+                return way
+                    .placed(Err(Fault::Here("needs one label, as in NAME \"label\" { … }".to_string())));
+            };
+            if labelled.insert(label.as_str(), block).is_some() {
+                let way = Way { at: start(block.span()), key: self.way.to_key(label.as_str()), ..*self.way };
+                return way.placed(Err(Fault::Here("stands twice".to_string())));
+            }
+        }
+        let entries: Vec<Field> =
+            labelled.iter().map(|(label, block)| Field::Block(label, std::slice::from_ref(block))).collect();
+        visitor.visit_map(Fields { rest: &entries, way: self.way })
+    }
+
+    fn deserialize_enum<V: Visitor<'de>>(
+        self,
+        name: &'static str,
+        variants: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        match self.what {
+            What::Plain(Expression::String(text)) => {
+                StrDeserializer::new(text.value()).deserialize_enum(name, variants, visitor)
+            }
+            _ => Err(Fault::Here(format!("must be one of {}", variants.join(", ")))),
+        }
+    }
+
+    serde::forward_to_deserialize_any! {
+        bool i8 i16 i32 i64 i128 u8 u16 u32 u64 u128 f32 f64 char str string bytes byte_buf unit unit_struct
+        newtype_struct seq tuple tuple_struct identifier ignored_any
+    }
+}
+
+/// A field of a body.
+enum Field<'a> {
+    Attribute(&'a str, &'a Expression, usize),
+    /// All blocks of this name; or, with the label for the name, the one block that has it.
+    Block(&'a str, &'a [&'a Block]),
+    Blocks(&'a str, Vec<&'a Block>),
+}
+
+fn start(span: Option<std::ops::Range<usize>>) -> usize {
+    span.map_or(0, |span| span.start)
+}
+
+/// The fields of a body, with blocks of one name gathered.
+fn fields<'a>(body: &'a Body, way: &Way) -> Result<Vec<Field<'a>>, Fault> {
+    let mut fields: Vec<Field> = Vec::new();
+    for structure in body {
+        match structure {
+            Structure::Attribute(attribute) => {
+                let (name, at) = (attribute.key.as_str(), start(attribute.span()));
+                // The grammar refuses an attribute that stands twice, and not one that is a block as well.
+                if fields.iter().any(|f| matches!(f, Field::Blocks(other, _) if *other == name)) {
+                    return way.to(name, Some(at)).placed(Err(Fault::Here("is a block above".to_string())));
+                }
+                fields.push(Field::Attribute(name, &attribute.value, at));
+            }
+            Structure::Block(block) => {
+                let name = block.ident.as_str();
+                let same = fields.iter_mut().find_map(|field| match field {
+                    Field::Blocks(other, blocks) if *other == name => Some(blocks),
+                    _ => None,
+                });
+                match same {
+                    Some(blocks) => blocks.push(block),
+                    None => fields.push(Field::Blocks(name, vec![block])),
+                }
+            }
+        }
+    }
+    Ok(fields)
+}
+
+struct Fields<'a> {
+    rest: &'a [Field<'a>],
+    way: &'a Way<'a>,
+}
+
+impl<'de> MapAccess<'de> for Fields<'_> {
+    type Error = Fault;
+
+    fn next_key_seed<K: DeserializeSeed<'de>>(&mut self, seed: K) -> Result<Option<K::Value>, Fault> {
+        let Some(field) = self.rest.first() else { return Ok(None) };
+        let (name, at) = match field {
+            Field::Attribute(name, _, at) => (*name, Some(*at)),
+            Field::Block(name, blocks) => (*name, blocks.first().map(|block| start(block.span()))),
+            Field::Blocks(name, blocks) => (*name, blocks.first().map(|block| start(block.span()))),
+        };
+        self.way.to(name, at);
+        seed.deserialize(StrDeserializer::new(name)).map(Some)
+    }
+
+    fn next_value_seed<V: DeserializeSeed<'de>>(&mut self, seed: V) -> Result<V::Value, Fault> {
+        let Some((field, rest)) = self.rest.split_first() else {
+            return Err(Fault::Here("a value without a key".to_string()));
+        };
+        self.rest = rest;
+        let (name, what) = match field {
+            Field::Attribute(name, value, _) => (*name, What::Plain(value)),
+            Field::Block(name, blocks) => {
+                // The label is the name here; what is in the block is the value.
+                let way = self.way.to(name, blocks.first().map(|block| start(block.span())));
+                let body = blocks.first().map(|block| What::Body(&block.body));
+                let value = Value { what: body.unwrap_or(What::Blocks(&[])), way: &way };
+                return way.placed(seed.deserialize(value));
+            }
+            Field::Blocks(name, blocks) => (*name, What::Blocks(blocks)),
+        };
+        let at = self.way.places.borrow().nearest(&self.way.to_key(name));
+        let way = self.way.to(name, Some(at));
+        way.placed(seed.deserialize(Value { what, way: &way }))
+    }
+}
+
+struct Items<'a, I> {
+    items: I,
+    place: usize,
+    way: &'a Way<'a>,
+}
+
+impl<'de, 'a, I: Iterator<Item = &'a Expression>> SeqAccess<'de> for Items<'_, I> {
+    type Error = Fault;
+
+    fn next_element_seed<T: DeserializeSeed<'de>>(&mut self, seed: T) -> Result<Option<T::Value>, Fault> {
+        let Some(item) = self.items.next() else { return Ok(None) };
+        let way = self.way.to(&self.place.to_string(), item.span().map(|span| span.start));
+        self.place += 1;
+        way.placed(seed.deserialize(Value { what: What::Plain(item), way: &way })).map(Some)
+    }
+}
--- /dev/null
+++ b/crates/operator/src/tests.rs
@@ -0,0 +1,211 @@
+//! What the file gets for every kind of mistake, and that nothing is lost when it is written out.
+
+use super::*;
+
+const GOOD: &str = r#"
+dependency "padron" {
+  addresses = ["127.0.0.1:5441", "127.0.0.1:5442"]
+  calls     = 8
+  rate      = "200/s"
+  share     = "40%"
+  fall_back = "replica"
+  breaker {
+    window = "2s"
+  }
+}
+dependency "replica" {
+  addresses = ["127.0.0.1:5443"]
+}
+route "consulta-estado" {
+  repeat  = "safe"
+  without = true
+  call "1" {
+    to   = "padron"
+    kept = "30s"
+  }
+  call "any" { to = "replica" }
+}
+route "registrar-firma" {
+  repeat = "keyed"
+  call "any" { to = "padron" }
+}
+"#;
+
+/// All messages for the good file with one thing replaced.
+fn wrong(from: &str, to: &str) -> Vec<String> {
+    assert!(GOOD.contains(from), "{from}");
+    let text = GOOD.replacen(from, to, 1);
+    read("f.hcl", &text).expect_err(&text).iter().map(Problem::to_string).collect()
+}
+
+#[test]
+fn a_file_is_read_and_its_defaults_are_filled_in() {
+    let file = read("f.hcl", GOOD).unwrap();
+    let padron = &file.dependency["padron"];
+    assert_eq!((padron.calls, padron.waiting, padron.addresses.len()), (8, 16, 2));
+    assert_eq!(padron.rate, Some(Rate(200.0)));
+    assert_eq!((padron.breaker.window, padron.breaker.probes), (Span::ms(2000), 2));
+    assert_eq!(file.route["consulta-estado"].call["1"].kept, Some(Span::ms(30_000)));
+    assert_eq!(file.retries.share, Share::percent(10.0));
+    assert_eq!(read("f.hcl", "").unwrap(), File::default());
+}
+
+#[test]
+fn written_out_and_read_again_it_is_the_same_file() {
+    let file = read("f.hcl", GOOD).unwrap();
+    let text = explain::explain(&file);
+    assert!(text.contains("  timeout = \"2s\"\n") && !text.contains("null"), "{text}");
+    assert_eq!(read("g.hcl", &text).unwrap(), file);
+    assert_eq!(read("g.hcl", &explain::explain(&File::default())).unwrap(), File::default());
+}
+
+#[test]
+fn every_mistake_is_told_with_its_place_its_key_and_what_was_expected() {
+    let cases: &[(&str, &str, &str)] = &[
+        (
+            "calls     = 8",
+            "cals = 8",
+            "f.hcl:4:3: dependency.padron.cals: is not known; did you mean \"calls\"?",
+        ),
+        (
+            "calls     = 8",
+            "xyzzyx = 8",
+            "f.hcl:4:3: dependency.padron.xyzzyx: is not known; expected one of addresses, calls,",
+        ),
+        (
+            "window = \"2s\"",
+            "window = 2000",
+            "f.hcl:9:5: dependency.padron.breaker.window: must be a duration with its unit, such as \"250ms\", \
+             \"2s\", \"5m\" or \"1h\", not the bare number 2000",
+        ),
+        (
+            "\"2s\"",
+            "\"2 s\"",
+            "f.hcl:9:5: dependency.padron.breaker.window: must be a duration with its unit",
+        ),
+        ("\"2s\"", "\"99999999999999999h\"", "must be a duration with its unit"),
+        ("\"200/s\"", "200", "f.hcl:5:3: dependency.padron.rate: must be a rate with its unit"),
+        ("\"40%\"", "0.4", "f.hcl:6:3: dependency.padron.share: must be a share from \"0%\" to \"100%\""),
+        ("\"40%\"", "\"140%\"", "must be a share from \"0%\" to \"100%\", not \"140%\""),
+        ("\"40%\"", "\"0%\"", "f.hcl:6:3: dependency.padron.share: must be above 0%"),
+        ("\"40%\"", "\"90%\"", "dependency.replica.share: brings the shares of all dependencies to 115%"),
+        ("calls     = 8", "calls = 0", "f.hcl:4:3: dependency.padron.calls: lower than 1"),
+        ("calls     = 8", "calls = -8", "f.hcl:4:3: dependency.padron.calls: must be"),
+        (
+            "calls     = 8",
+            "calls = [8]",
+            "dependency.padron.calls: must be a whole number of 0 or more, not a list",
+        ),
+        ("calls     = 8", "calls = 4 + 4", "must be a plain value: nothing is computed here"),
+        ("calls     = 8", "calls = 8\n  calls = 9", "f.hcl:5:3: this is no HCL"),
+        ("\"127.0.0.1:5442\"", "\"replica.local\"", "f.hcl:3:34: dependency.padron.addresses.1: "),
+        ("[\"127.0.0.1:5443\"]", "[]", "f.hcl:13:3: dependency.replica.addresses: length is lower than 1"),
+        ("addresses = [\"127.0.0.1:5443\"]", "", "f.hcl:12:1: dependency.replica: addresses is missing"),
+        (
+            "\"replica\"\n  breaker",
+            "\"relpica\"\n  breaker",
+            "f.hcl:7:3: dependency.padron.fall_back: names \"relpica\"",
+        ),
+        (
+            "addresses = [\"127.0.0.1:5443\"]",
+            "addresses = [\"127.0.0.1:5443\"]\n  fall_back = \"padron\"",
+            "f.hcl:7:3: dependency.padron.fall_back: goes round in a cycle: padron → replica → padron",
+        ),
+        (
+            "\"safe\"",
+            "\"sure\"",
+            "f.hcl:16:3: route.consulta-estado.repeat: must be one of safe, keyed, unsafe",
+        ),
+        ("repeat  = \"safe\"", "", "f.hcl:15:1: route.consulta-estado: repeat is missing"),
+        (
+            "repeat = \"keyed\"",
+            "repeat = \"keyed\"\n  without = true",
+            "route.registrar-firma.without: a keyed class",
+        ),
+        (
+            "call \"any\" { to = \"padron\" }",
+            "call \"any\" {\n to = \"padron\"\n kept = \"1s\"\n }",
+            "call.any.kept: a keyed class must never be answered from",
+        ),
+        (
+            "repeat  = \"safe\"",
+            "repeat = \"unsafe\"",
+            "f.hcl:17:3: route.consulta-estado.without: an unsafe class",
+        ),
+        ("call \"1\"", "call \"first\"", "route.consulta-estado.call.first: must be labelled by its place"),
+        ("call \"1\"", "call \"any\"", "call.any: stands twice"),
+        ("call \"1\"", "call", "route.consulta-estado.call: needs one label"),
+        ("call \"any\" { to = \"replica\" }", "", "route.consulta-estado.call: needs a block call \"any\""),
+        ("to = \"replica\"", "to = \"rep\"", "f.hcl:22:16: route.consulta-estado.call.any.to: names \"rep\""),
+        ("  breaker {", "  breaker \"x\" {", "f.hcl:8:3: dependency.padron.breaker: takes no label"),
+        ("dependency \"replica\"", "dependency \"padron\"", "f.hcl:12:1: dependency.padron: stands twice"),
+        ("dependency \"replica\"", "dependency \"re plica\"", "must be named by 1 to 64 letters"),
+        ("dependency \"padron\" {", "dependency \"padron\" {{", "this is no HCL"),
+        ("calls     = 8", "calls = \"${1}\"", "must be a plain value"),
+    ];
+    for (from, to, expected) in cases {
+        let told = wrong(from, to);
+        assert!(told.iter().any(|line| line.contains(expected)), "{to}: {told:#?}");
+    }
+}
+
+#[test]
+fn several_mistakes_between_blocks_are_told_at_once() {
+    let told = read(
+        "f.hcl",
+        &GOOD
+            .replace("to = \"replica\"", "to = \"a\"")
+            .replace("any\" { to = \"padron\"", "any\" { to = \"b\""),
+    );
+    assert_eq!(told.unwrap_err().len(), 2);
+}
+
+#[test]
+fn the_settings_must_say_the_same_of_each_class() {
+    use check::{Class, against_settings};
+    let file = read("f.hcl", GOOD).unwrap();
+    let mut classes = vec![
+        Class { name: "consulta-estado", repeat: Repeat::Safe, calls: true },
+        Class { name: "registrar-firma", repeat: Repeat::Keyed, calls: true },
+    ];
+    assert_eq!(against_settings(&file, &classes), []);
+    classes[1].repeat = Repeat::Unsafe;
+    classes.push(Class { name: "verificar-firma", repeat: Repeat::Safe, calls: true });
+    classes.push(Class { name: "quiet", repeat: Repeat::Safe, calls: false });
+    let told: Vec<String> = against_settings(&file, &classes).into_iter().map(|(key, _)| key).collect();
+    assert_eq!(told, ["route.registrar-firma.repeat", "route.verificar-firma"]);
+    let told = against_settings(&file, &classes[..1]);
+    assert_eq!(told[0].0, "route.registrar-firma");
+}
+
+#[test]
+fn figures_keep_their_value_through_text() {
+    for text in ["0ms", "1ms", "90s", "2m", "3h"] {
+        assert_eq!(text.parse::<Span>().unwrap().to_string(), text);
+    }
+    for text in ["0B", "512B", "64KiB", "3MiB", "1GiB"] {
+        assert_eq!(text.parse::<Size>().unwrap().to_string(), text);
+    }
+    for text in ["0%", "33.3%", "100%"] {
+        assert_eq!(text.parse::<Share>().unwrap().to_string(), text);
+    }
+    for text in ["", "ms", "5", "-5ms", "5.5ms", "5 ms", "5MS", "١ms"] {
+        assert_eq!(text.parse::<Span>(), Err(units::NotUnderstood), "{text}");
+    }
+    for text in ["", "%", "1e1%", "NaN%", "-1%", "101%", "5"] {
+        assert_eq!(text.parse::<Share>(), Err(units::NotUnderstood), "{text}");
+    }
+    for text in ["0/s", "inf/s", "5", "5/m"] {
+        assert_eq!(text.parse::<Rate>(), Err(units::NotUnderstood), "{text}");
+    }
+}
+
+/// The parser goes down into every bracket, and must give up before its stack does.
+#[test]
+fn a_file_that_nests_without_end_is_refused() {
+    for (open, depth) in [("[", 100_000), ("{", 100_000), ("(", 100_000), ("!", 100_000)] {
+        let text = format!("dependency \"a\" {{\n  calls = {}\n}}\n", open.repeat(depth));
+        let told = read("f.hcl", &text).unwrap_err();
+        assert!(told[0].what.contains("this is no HCL"), "{:?}", told[0]);
+    }
+}
