Decide on several dependencies without I/O: budgets, limits, breakers, retries, fall-backs

One dependency that turns slow must not take the places, the memory and the patience of all the rest. The new crate takes each call from being wanted to its one end: its dependency, the line there, again or elsewhere, a kept reply, or nothing. It has a budget for each dependency, a learned limit (Vegas on calls, with BBR's probe for the least), a circuit breaker, one retry budget, and chains of fall-backs whose guests get a share only.

18 tests, one of them 250 random runs from a fixed seed with a witness that keeps its own count of what is in hand. Nothing uses the crate yet.

--- /dev/null
+++ b/crates/dependencies/src/tests.rs
@@ -0,0 +1,797 @@
+//! Each part on its own, and the whole under seeded random events with the rules checked after every step.
+
+use crate::breaker::{Breaker, State, Verdict, Went};
+use crate::kept::{Asked, Kept};
+use crate::limit::Learned;
+use crate::retries::Retries;
+use crate::*;
+use jaspershunt_operator::{File, read};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, VecDeque};
+
+const FILE: &str = r#"
+dependency "a" {
+  addresses = ["127.0.0.1:1", "127.0.0.1:2"]
+  calls = 4
+  waiting = 3
+  wait = "100ms"
+  share = "40%"
+  timeout = "500ms"
+  fall_back = "b"
+  guests = "50%"
+  limit {
+    learned = false
+  }
+  breaker {
+    window = "1s"
+    least = 4
+    slow = "400ms"
+    wait = "200ms"
+    longest = "1s"
+  }
+}
+dependency "b" {
+  addresses = ["127.0.0.1:3"]
+  calls = 4
+  waiting = 2
+  rate = "50/s"
+  bytes = "2KiB"
+  share = "30%"
+  guests = "50%"
+  fall_back = "c"
+  limit {
+    start = 2
+  }
+}
+dependency "c" {
+  addresses = ["127.0.0.1:4"]
+  calls = 2
+  waiting = 0
+  share = "20%"
+}
+route "read" {
+  repeat = "safe"
+  without = true
+  call "1" {
+    to = "a"
+    kept = "2s"
+  }
+  call "2" {
+    to = "c"
+    elsewhere = false
+  }
+  call "any" { to = "b" }
+}
+route "sign" {
+  repeat = "keyed"
+  call "any" { to = "a" }
+}
+"#;
+
+const CLASSES: [&str; 2] = ["read", "sign"];
+const READ: usize = 0;
+const SIGN: usize = 1;
+
+fn file(replace: &[(&str, &str)]) -> File {
+    let text = replace.iter().fold(FILE.to_string(), |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replace(from, to)
+    });
+    read("t.hcl", &text).unwrap()
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Dependencies with the test in the place of the sockets.
+struct Rig {
+    below: Dependencies,
+    now: Duration,
+    calls: u64,
+    tried: Vec<(CallId, AttemptId, u16, Duration)>,
+    abandoned: Vec<AttemptId>,
+    ends: BTreeMap<CallId, End>,
+    notes: usize,
+}
+
+impl Rig {
+    fn new(file: &File) -> Rig {
+        let room = Room { places: 20, memory_kb: 1000.0 };
+        let below = Dependencies::new(file, &CLASSES, room, 1, ms(0));
+        let (tried, abandoned) = (Vec::new(), Vec::new());
+        Rig { below, now: ms(0), calls: 0, tried, abandoned, ends: BTreeMap::new(), notes: 0 }
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Attempt { call, attempt, address, give_up_after, .. } => {
+                    self.tried.push((call, attempt, address.port(), give_up_after));
+                }
+                Action::Abandon { attempt } => self.abandoned.push(attempt),
+                Action::End { call, end } => {
+                    assert!(self.ends.insert(call, end).is_none(), "{call:?} ends twice");
+                }
+                Action::Note(_) => self.notes += 1,
+            }
+        }
+        self.below.check().unwrap();
+    }
+
+    fn want(&mut self, class: usize, place: usize, body: &[u8]) -> CallId {
+        self.calls += 1;
+        let call = CallId(self.calls);
+        let wanted = Wanted { call, class, place, left: ms(2000), body: body.into(), kb: 10.0 };
+        let mut out = Vec::new();
+        self.below.wanted(self.now, wanted, &mut out);
+        self.take(out);
+        call
+    }
+
+    /// The last attempt at a call.
+    fn attempt(&self, call: CallId) -> (AttemptId, u16) {
+        let at = self.tried.iter().rev().find(|(of, ..)| *of == call).expect("an attempt");
+        (at.1, at.2)
+    }
+
+    fn end(&mut self, call: CallId, outcome: Outcome, took: u64) {
+        let (attempt, _) = self.attempt(call);
+        let body = if outcome == Outcome::Done { b"reply".to_vec() } else { Vec::new() };
+        let mut out = Vec::new();
+        self.below.ended(self.now, attempt, outcome, ms(took), body, &mut out);
+        self.take(out);
+    }
+
+    fn until(&mut self, at: u64) {
+        self.now = ms(at);
+        let mut out = Vec::new();
+        self.below.tick(self.now, &mut out);
+        self.take(out);
+    }
+
+    fn drop_call(&mut self, call: CallId) {
+        let mut out = Vec::new();
+        self.below.dropped(self.now, call, &mut out);
+        self.take(out);
+    }
+
+    fn reload(&mut self, file: &File) {
+        let mut out = Vec::new();
+        self.below.reload(self.now, file, &mut out);
+        self.take(out);
+    }
+
+    /// Earns the right to so many further attempts.
+    fn earn(&mut self, attempts: usize) {
+        for _ in 0..attempts * 10 {
+            let call = self.want(READ, 2, b"earn");
+            self.end(call, Outcome::Done, 1);
+        }
+    }
+
+    /// Has so many calls of the first dependency fail.
+    fn fail(&mut self, times: usize) {
+        for _ in 0..times {
+            let call = self.want(SIGN, 1, b"fail");
+            self.end(call, Outcome::Failed, 1);
+        }
+    }
+
+    fn state(&self, name: &str) -> Status {
+        self.below.status().into_iter().find(|status| status.name == name).unwrap()
+    }
+
+    fn outcome(&self, call: CallId) -> Option<Outcome> {
+        match self.ends.get(&call) {
+            Some(End::Nothing { outcome, .. }) => Some(*outcome),
+            Some(End::Reply { .. }) => Some(Outcome::Done),
+            _ => None,
+        }
+    }
+}
+
+#[test]
+fn a_dependency_that_hangs_holds_its_part_and_no_more() {
+    let mut rig = Rig::new(&file(&[]));
+    let calls: Vec<CallId> = (0..12).map(|_| rig.want(SIGN, 1, b"x")).collect();
+    let a = rig.state("a");
+    // Four in hand, three in line; "sign" may go to "b" too, where guests have half of two.
+    assert_eq!((a.in_hand, a.waiting, a.parked), (4, 3, 7));
+    assert_eq!(rig.state("b").in_hand, 1);
+    assert_eq!(calls.iter().filter(|c| rig.outcome(**c) == Some(Outcome::TurnedAway)).count(), 4);
+    // Those that need another one are none the worse.
+    let other = rig.want(READ, 2, b"x");
+    assert_eq!(rig.attempt(other).1, 4);
+    // What waits does so for its time and no longer.
+    rig.until(100);
+    assert_eq!(rig.state("a").waiting, 0);
+    assert_eq!(calls.iter().filter(|c| rig.outcome(**c) == Some(Outcome::TurnedAway)).count(), 7);
+}
+
+#[test]
+fn calls_given_up_count_until_they_are_surely_over() {
+    let mut rig = Rig::new(&file(&[]));
+    let calls: Vec<CallId> = (0..4).map(|_| rig.want(SIGN, 1, b"x")).collect();
+    rig.until(500);
+    for call in &calls {
+        rig.end(*call, Outcome::GivenUp, 500);
+    }
+    assert_eq!(rig.state("a").in_hand, 4);
+    // The breaker has seen four that failed; but even with it out of the way nothing would go there yet.
+    assert!(matches!(rig.state("a").breaker, State::Open { .. }));
+    rig.until(699);
+    assert_eq!(rig.state("a").in_hand, 4);
+    rig.until(700);
+    assert_eq!(rig.state("a").in_hand, 0);
+    let dropped = rig.want(READ, 2, b"x");
+    rig.drop_call(dropped);
+    assert_eq!((rig.abandoned.len(), rig.state("c").in_hand, rig.state("c").parked), (1, 1, 0));
+}
+
+#[test]
+fn a_call_that_may_have_had_its_effect_is_never_made_again_or_elsewhere() {
+    for outcome in [Outcome::Failed, Outcome::GivenUp, Outcome::Broken] {
+        let mut rig = Rig::new(&file(&[]));
+        rig.earn(5);
+        let call = rig.want(SIGN, 1, b"x");
+        let before = rig.tried.len();
+        rig.end(call, outcome, 10);
+        assert_eq!((rig.outcome(call), rig.tried.len()), (Some(outcome), before));
+        // Of a class that is safe to repeat it is.
+        let call = rig.want(READ, 1, b"x");
+        rig.end(call, outcome, 10);
+        assert_eq!(rig.outcome(call), None, "{outcome:?}");
+        rig.end(call, Outcome::Done, 10);
+        assert_eq!(rig.outcome(call), Some(Outcome::Done));
+    }
+}
+
+#[test]
+fn one_that_provably_never_ran_goes_on_elsewhere_and_what_may_have_run_is_not_forgotten() {
+    let mut rig = Rig::new(&file(&[]));
+    rig.earn(5);
+    let call = rig.want(SIGN, 1, b"x");
+    rig.end(call, Outcome::TurnedAway, 1);
+    assert_eq!(rig.attempt(call).1, 3);
+    rig.end(call, Outcome::Done, 1);
+    assert_eq!(rig.outcome(call), Some(Outcome::Done));
+    // Unreachable at one address, it goes to the other first; and the other stays in use.
+    rig.until(40);
+    let call = rig.want(SIGN, 1, b"x");
+    rig.end(call, Outcome::Unreachable, 1);
+    assert_eq!(rig.attempt(call).1, 2);
+    rig.end(call, Outcome::TurnedAway, 1);
+    assert_eq!(rig.attempt(call).1, 3);
+    rig.end(call, Outcome::Failed, 1);
+    assert_eq!(rig.outcome(call), Some(Outcome::Failed));
+    let next = rig.want(SIGN, 1, b"x");
+    assert_eq!(rig.attempt(next).1, 2);
+    // A safe call failed here and was turned away there: it may have run.
+    rig.until(80);
+    let call = rig.want(READ, 1, b"y");
+    rig.end(call, Outcome::Failed, 1);
+    rig.end(call, Outcome::TurnedAway, 1);
+    if rig.outcome(call).is_none() {
+        rig.end(call, Outcome::TurnedAway, 1);
+    }
+    assert_eq!(rig.outcome(call), Some(Outcome::Failed));
+}
+
+#[test]
+fn a_fall_back_that_is_shut_or_full_takes_nothing() {
+    let mut rig = Rig::new(&file(&[]));
+    rig.earn(9);
+    rig.fail(4);
+    assert!(matches!(rig.state("a").breaker, State::Open { .. }));
+    // Shut out at "a", calls go to "b" as guests: half of its limit of two; then to "c" likewise.
+    let calls: Vec<CallId> = (0..4).map(|_| rig.want(SIGN, 1, b"x")).collect();
+    assert_eq!((rig.state("b").in_hand, rig.state("c").in_hand), (1, 0));
+    assert_eq!(calls.iter().filter(|call| rig.outcome(**call) == Some(Outcome::TurnedAway)).count(), 3);
+    // Its own calls have the other half.
+    rig.until(50);
+    let own = rig.want(READ, 3, b"x");
+    assert_eq!(rig.attempt(own).1, 3);
+    assert_eq!(rig.state("b").in_hand, 2);
+}
+
+#[test]
+fn repeated_attempts_stay_within_their_share_from_the_first_on() {
+    let mut rig = Rig::new(&file(&[("least = 4", "least = 1000")]));
+    for _ in 0..200 {
+        let call = rig.want(READ, 1, b"x");
+        while rig.outcome(call).is_none() && !rig.ends.contains_key(&call) {
+            rig.end(call, Outcome::Broken, 1);
+        }
+        let (first, further) = rig.below.attempts();
+        assert!(further as f64 <= first as f64 * 0.1, "{further} of {first}");
+        rig.until(rig.now.as_millis() as u64 + 150);
+    }
+    assert_eq!(rig.below.attempts(), (200, 20));
+}
+
+#[test]
+fn a_kept_reply_stands_in_while_it_is_young_and_for_the_same_call_only() {
+    let mut rig = Rig::new(&file(&[]));
+    let call = rig.want(READ, 1, b"ana");
+    rig.end(call, Outcome::Done, 5);
+    rig.fail(4);
+    // The chain behind "a" is full, so that nothing else can answer.
+    let hold: Vec<CallId> = (0..4).map(|_| rig.want(READ, 3, b"x")).collect();
+    rig.until(10);
+    let same = rig.want(READ, 1, b"ana");
+    assert_eq!(rig.ends[&same], End::Kept { body: b"reply"[..].into(), since: ms(0) });
+    let other = rig.want(READ, 1, b"eva");
+    assert_eq!(rig.outcome(other), Some(Outcome::TurnedAway));
+    // Of a keyed class never, though the call is the same to the letter.
+    let keyed = rig.want(SIGN, 1, b"ana");
+    assert_eq!(rig.outcome(keyed), Some(Outcome::TurnedAway));
+    assert_eq!(hold.len(), 4);
+    // A moment too old, it is not used.
+    let mut kept = Kept::new(10_000);
+    let asked = Asked { class: 0, place: 1, body: b"ana"[..].into() };
+    kept.put(ms(0), asked.clone(), b"r"[..].into(), ms(2000));
+    assert!(kept.get(ms(2000), &asked, ms(2000)).is_some());
+    assert!(kept.get(ms(1000), &asked, ms(999)).is_none());
+    assert!(kept.get(ms(2001), &asked, ms(2000)).is_none());
+    assert_eq!(kept.bytes(), 0);
+}
+
+#[test]
+fn kept_replies_are_bounded_in_bytes_and_the_oldest_go_first() {
+    let mut kept = Kept::new(5_000);
+    let asked = |n: u8| Asked { class: 0, place: 1, body: vec![n; 100].into() };
+    for n in 0..50 {
+        kept.put(ms(u64::from(n)), asked(n), vec![n; 700].into(), ms(60_000));
+        assert!(kept.bytes() <= 5_000);
+    }
+    assert!(kept.get(ms(50), &asked(0), ms(60_000)).is_none());
+    assert!(kept.get(ms(50), &asked(49), ms(60_000)).is_some());
+    kept.put(ms(51), asked(49), vec![1; 6_000].into(), ms(60_000));
+    // One that does not fit is not kept, nor is the one before, which is no longer the last.
+    assert!(kept.get(ms(51), &asked(49), ms(60_000)).is_none());
+    kept.bound(900);
+    assert!(kept.bytes() <= 900);
+}
+
+#[test]
+fn a_breaker_opens_tries_with_few_and_closes_only_when_all_of_them_go_well() {
+    let config = file(&[]).dependency["a"].breaker.clone();
+    let mut breaker = Breaker::new(config, 7);
+    let mut at = ms(0);
+    let one = |breaker: &mut Breaker, at, went| match breaker.admit(at) {
+        Verdict::Yes { period } => breaker.ended(at, period, went),
+        Verdict::No => panic!("shut"),
+    };
+    for went in [Went::Well, Went::Badly, Went::Well] {
+        one(&mut breaker, at, went);
+    }
+    assert_eq!(breaker.state(), State::Closed);
+    // From before it turned: says nothing any more.
+    let Verdict::Yes { period: old } = breaker.admit(at) else { panic!() };
+    one(&mut breaker, at, Went::Badly);
+    let mut waits = Vec::new();
+    for _ in 0..5 {
+        let State::Open { until } = breaker.state() else { panic!("{:?}", breaker.state()) };
+        waits.push((until - at).as_millis());
+        breaker.ended(at, old, Went::Well);
+        assert_eq!(breaker.admit(until - ms(1)), Verdict::No);
+        at = until;
+        let Verdict::Yes { period } = breaker.admit(at) else { panic!() };
+        assert!(matches!(breaker.admit(at), Verdict::Yes { .. }));
+        assert_eq!(breaker.admit(at), Verdict::No);
+        breaker.ended(at, period, Went::Badly);
+    }
+    // 200 ms, doubled each time up to 1 s, a quarter more or less.
+    for (wait, middle) in waits.iter().zip([200, 400, 800, 1000, 1000]) {
+        assert!((middle * 3 / 4..=middle * 5 / 4).contains(wait), "{waits:?}");
+    }
+    let State::Open { until } = breaker.state() else { panic!() };
+    for _ in 0..2 {
+        one(&mut breaker, until, Went::Well);
+    }
+    assert_eq!(breaker.state(), State::Closed);
+    // Flapping: it opens again soon, and the wait goes on growing.
+    for _ in 0..4 {
+        one(&mut breaker, until, Went::Badly);
+    }
+    let State::Open { until: next } = breaker.state() else { panic!() };
+    assert!(next - until >= ms(750));
+}
+
+#[test]
+fn a_breaker_lets_go_of_trials_that_say_nothing_and_tries_nothing_once_the_nodo_leaves() {
+    let config = file(&[]).dependency["a"].breaker.clone();
+    let mut breaker = Breaker::new(config, 7);
+    for _ in 0..4 {
+        let Verdict::Yes { period } = breaker.admit(ms(0)) else { panic!() };
+        breaker.ended(ms(0), period, Went::Badly);
+        if let State::Open { until } = breaker.state() {
+            for _ in 0..5 {
+                let Verdict::Yes { period } = breaker.admit(until) else { panic!("a trial is lost") };
+                breaker.withdrawn(period);
+            }
+            let Verdict::Yes { period } = breaker.admit(until) else { panic!() };
+            breaker.ended(until, period, Went::Slowly);
+            breaker.leave();
+            assert_eq!(breaker.admit(ms(1_000_000)), Verdict::No);
+            return;
+        }
+    }
+    panic!("it never opened");
+}
+
+#[test]
+fn slow_calls_open_a_breaker_as_failures_do_and_old_ones_are_forgotten() {
+    let config = file(&[]).dependency["a"].breaker.clone();
+    let mut breaker = Breaker::new(config, 7);
+    for at in [0, 10, 20] {
+        let Verdict::Yes { period } = breaker.admit(ms(at)) else { panic!() };
+        breaker.ended(ms(at), period, Went::Slowly);
+    }
+    // The window has passed over those three.
+    let Verdict::Yes { period } = breaker.admit(ms(1100)) else { panic!() };
+    breaker.ended(ms(1100), period, Went::Slowly);
+    assert_eq!(breaker.state(), State::Closed);
+    for _ in 0..3 {
+        breaker.ended(ms(1200), period, Went::Slowly);
+    }
+    assert!(matches!(breaker.state(), State::Open { .. }));
+}
+
+/// A dependency of so many slots: a call takes 50 ms while there are enough, and as much longer as there are too few.
+fn settles(slots: f64, calls: usize) -> usize {
+    let mut learned = Learned::new(4, 1, calls);
+    for n in 0..20_000u64 {
+        let in_hand = learned.limit();
+        // A spread of a tenth each way, the same each time.
+        let spread = 0.9 + 0.2 * ((n * 7919) % 101) as f64 / 100.0;
+        let took = 0.05 * spread * (in_hand as f64 / slots).max(1.0);
+        learned.came_back(Duration::from_secs_f64(took), in_hand);
+    }
+    learned.limit()
+}
+
+#[test]
+fn the_learned_limit_settles_near_the_slots_that_it_is_not_told() {
+    for (slots, least, most) in [(4.0, 4, 7), (12.0, 12, 17), (40.0, 40, 55)] {
+        let limit = settles(slots, 200);
+        assert!((least..=most).contains(&limit), "{slots} slots: {limit}");
+    }
+    assert_eq!(settles(40.0, 10), 10);
+}
+
+#[test]
+fn the_learned_limit_falls_when_calls_are_dropped_and_rises_again_only_when_it_is_used() {
+    let mut learned = Learned::new(20, 2, 50);
+    for _ in 0..2000 {
+        learned.dropped();
+    }
+    assert_eq!(learned.limit(), 2);
+    for _ in 0..2000 {
+        learned.came_back(ms(50), 1);
+    }
+    assert_eq!(learned.limit(), 2, "half used, it may be enough");
+    for _ in 0..2000 {
+        learned.came_back(ms(50), learned.limit());
+    }
+    assert_eq!(learned.limit(), 50);
+    // Slower for good, it is not taken for crowded for ever.
+    for _ in 0..200_000 {
+        learned.came_back(ms(400), learned.limit());
+    }
+    assert!(learned.limit() > 25, "{}", learned.limit());
+}
+
+#[test]
+fn saved_up_attempts_are_bounded() {
+    let file = file(&[]);
+    let mut retries = Retries::new(&file.retries);
+    (0..10_000).for_each(|_| retries.first());
+    let mut further = 0;
+    while retries.allow() {
+        retries.further();
+        further += 1;
+    }
+    assert_eq!(further, 10);
+}
+
+#[test]
+fn a_reload_moves_addresses_and_budgets_and_calls_under_way_end_where_they_are() {
+    let mut rig = Rig::new(&file(&[]));
+    let old: Vec<CallId> = (0..4).map(|_| rig.want(SIGN, 1, b"x")).collect();
+    let waits = rig.want(SIGN, 1, b"x");
+    rig.reload(&file(&[("127.0.0.1:1\"", "127.0.0.1:9\""), ("calls = 4", "calls = 2")]));
+    // Four in hand of two: nothing new until three are back.
+    for call in &old[..2] {
+        rig.end(*call, Outcome::Done, 1);
+    }
+    assert!(!rig.tried.iter().any(|(call, ..)| *call == waits));
+    rig.end(old[2], Outcome::Done, 1);
+    assert_eq!(rig.attempt(waits).1, 9);
+    // "a" goes: what waits for it goes on, what is on its way ends well.
+    let more: Vec<CallId> = (0..2).map(|_| rig.want(SIGN, 1, b"x")).collect();
+    let without = FILE.split("dependency \"b\"").nth(1).unwrap().replace("to = \"a\"", "to = \"b\"");
+    rig.reload(&read("t.hcl", &format!("dependency \"b\"{without}")).unwrap());
+    assert!(more.iter().all(|call| rig.ends.contains_key(call) || rig.attempt(*call).1 == 3));
+    rig.end(old[3], Outcome::Done, 1);
+    rig.end(waits, Outcome::Done, 1);
+    assert_eq!(rig.outcome(waits), Some(Outcome::Done));
+    // Its place is used again, however often that happens.
+    for _ in 0..100 {
+        rig.reload(&file(&[]));
+        rig.reload(&read("t.hcl", &format!("dependency \"b\"{without}")).unwrap());
+    }
+    assert_eq!(rig.below.status().len(), 2);
+    rig.until(1000);
+    let call = rig.want(SIGN, 1, b"x");
+    assert_eq!(rig.attempt(call).1, 3);
+}
+
+#[test]
+fn what_can_wait_has_a_tick_and_what_has_nobody_waiting_has_none() {
+    let mut rig = Rig::new(&file(&[]));
+    assert_eq!(rig.below.next_tick(rig.now), None);
+    // Fifty a second at "b", and one at the beginning.
+    for _ in 0..2 {
+        rig.want(READ, 3, b"x");
+    }
+    assert_eq!((rig.tried.len(), rig.state("b").waiting), (1, 1));
+    let due = rig.below.next_tick(rig.now).unwrap();
+    assert!(due <= ms(20), "{due:?}");
+    rig.now = due;
+    let mut out = Vec::new();
+    rig.below.tick(due, &mut out);
+    rig.take(out);
+    assert_eq!((rig.tried.len(), rig.below.next_tick(rig.now)), (2, None));
+}
+
+#[test]
+fn a_hang_that_outlasts_every_caller_opens_the_breaker_all_the_same() {
+    let mut rig = Rig::new(&file(&[]));
+    let calls: Vec<CallId> = (0..4).map(|_| rig.want(SIGN, 1, b"x")).collect();
+    rig.until(450);
+    for call in calls {
+        rig.drop_call(call);
+    }
+    assert!(matches!(rig.state("a").breaker, State::Open { .. }));
+    assert_eq!(rig.notes, 1);
+}
+
+// The whole under random events.
+
+#[derive(Clone, Debug)]
+enum Step {
+    Want { class: usize, place: usize, left: u64, bytes: usize },
+    End { which: usize, outcome: Outcome },
+    Drop { which: usize },
+    Pass { ms: u64 },
+    Reload { variant: usize },
+    Leave,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let outcome = prop_oneof![
+        4 => Just(Outcome::Done),
+        1 => Just(Outcome::Failed),
+        1 => Just(Outcome::TurnedAway),
+        1 => Just(Outcome::GivenUp),
+        1 => Just(Outcome::Unreachable),
+        1 => Just(Outcome::Broken),
+        1 => Just(Outcome::NotStarted),
+    ];
+    let step = prop_oneof![
+        12 => (0..2usize, 1..4usize, 0..3000u64, 0..900usize)
+            .prop_map(|(class, place, left, bytes)| Step::Want { class, place, left, bytes }),
+        10 => (any::<usize>(), outcome).prop_map(|(which, outcome)| Step::End { which, outcome }),
+        2 => any::<usize>().prop_map(|which| Step::Drop { which }),
+        6 => (0..400u64).prop_map(|ms| Step::Pass { ms }),
+        1 => (0..4usize).prop_map(|variant| Step::Reload { variant }),
+        1 => Just(Step::Leave),
+    ];
+    proptest::collection::vec(step, 1..200)
+}
+
+fn variants() -> Vec<File> {
+    vec![
+        file(&[]),
+        file(&[("calls = 4", "calls = 1"), ("waiting = 3", "waiting = 0")]),
+        file(&[("127.0.0.1:3", "127.0.0.1:7"), ("guests = \"50%\"", "guests = \"0%\"")]),
+        file(&[("fall_back = \"c\"", ""), ("rate = \"50/s\"", "rate = \"5/s\"")]),
+    ]
+}
+
+/// What the stand-in for the sockets knows of an attempt.
+struct Open {
+    call: CallId,
+    dependency: usize,
+    began: Duration,
+    give_up: Duration,
+}
+
+/// Keeps its own count of all that is asked for, and holds it against the file.
+struct Witness {
+    below: Dependencies,
+    file: File,
+    now: Duration,
+    open: BTreeMap<AttemptId, Open>,
+    lingering: Vec<(Duration, usize)>,
+    begun: BTreeMap<usize, VecDeque<Duration>>,
+    /// Calls without an end: class, when they are due, and whether they may have run.
+    calls: BTreeMap<CallId, (usize, Duration, bool, usize)>,
+    ended: u64,
+    names: BTreeMap<u16, &'static str>,
+}
+
+impl Witness {
+    fn new() -> Witness {
+        let file = file(&[]);
+        let room = Room { places: 20, memory_kb: 1000.0 };
+        Witness {
+            below: Dependencies::new(&file, &CLASSES, room, 3, ms(0)),
+            file,
+            now: ms(0),
+            open: BTreeMap::new(),
+            lingering: Vec::new(),
+            begun: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            ended: 0,
+            names: [(1, "a"), (2, "a"), (3, "b"), (7, "b"), (4, "c")].into(),
+        }
+    }
+
+    fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Attempt { call, attempt, dependency, address, give_up_after, once, connections } => {
+                    let config = &self.file.dependency[self.names[&address.port()]];
+                    let now = self.now;
+                    self.lingering.retain(|(until, _)| *until > now);
+                    let in_hand = self.open.values().filter(|o| o.dependency == dependency).count()
+                        + self.lingering.iter().filter(|(_, at)| *at == dependency).count();
+                    assert!(in_hand < config.calls, "{in_hand} in hand of {}", config.calls);
+                    assert!(in_hand < connections);
+                    let (class, until, may_have_run, attempts) = self.calls.get_mut(&call).expect("a call");
+                    assert!(!(once && *may_have_run), "made again though it may have run");
+                    assert_eq!(once, *class == SIGN);
+                    *attempts += 1;
+                    assert!(*attempts <= self.file.retries.attempts);
+                    assert!(now + give_up_after <= (*until).max(now + ms(1)), "longer than the request has");
+                    assert!(give_up_after <= config.timeout.0);
+                    if let Some(rate) = config.rate {
+                        let begun = self.begun.entry(dependency).or_default();
+                        begun.push_back(now);
+                        while begun.front().is_some_and(|at| now - *at >= ms(1000)) {
+                            begun.pop_front();
+                        }
+                        // A reload may have lowered the rate: the burst of the higher one may just be over.
+                        assert!(begun.len() as f64 <= rate.0.max(50.0) * 1.1 + 1.0, "{} begun", begun.len());
+                    }
+                    let give_up = now + give_up_after;
+                    self.open.insert(attempt, Open { call, dependency, began: now, give_up });
+                }
+                Action::Abandon { attempt } => {
+                    let open = self.open.remove(&attempt).expect("an attempt that is open");
+                    self.lingering.push((self.now + ms(200), open.dependency));
+                }
+                Action::End { call, end } => {
+                    let (class, _, may_have_run, _) = self.calls.remove(&call).expect("ends once");
+                    self.ended += 1;
+                    match end {
+                        End::Reply { .. } => {}
+                        End::Kept { since, .. } => {
+                            assert_eq!(class, READ);
+                            assert!(self.now - since <= ms(2000));
+                        }
+                        End::Nothing { outcome, .. } => assert_eq!(
+                            outcome.never_ran(),
+                            !may_have_run,
+                            "{outcome:?} is said of what may have run: {may_have_run}"
+                        ),
+                    }
+                }
+                Action::Note(_) => {}
+            }
+        }
+    }
+
+    fn check(&self) {
+        self.below.check().unwrap();
+        let (first, further) = self.below.attempts();
+        assert!(further * 10 <= first, "{further} beyond {first}");
+        assert_eq!(self.below.under_way(), self.calls.len());
+        for status in self.below.status() {
+            let config = &self.file.dependency[&status.name];
+            let places = (20.0 * config.share.0) as usize;
+            // What came before the budget was lowered may still be there.
+            assert!(status.parked <= places, "{} parked of {places}", status.parked);
+            assert!(status.waiting <= 3);
+        }
+    }
+
+    fn end(&mut self, attempt: AttemptId, outcome: Outcome) {
+        let open = self.open.remove(&attempt).unwrap();
+        if let Some((_, _, may_have_run, _)) = self.calls.get_mut(&open.call) {
+            *may_have_run |= !outcome.never_ran();
+        }
+        if matches!(outcome, Outcome::GivenUp | Outcome::Broken) {
+            self.lingering.push((self.now + ms(200), open.dependency));
+        }
+        let mut out = Vec::new();
+        let took = self.now - open.began;
+        self.below.ended(self.now, attempt, outcome, took, b"reply".to_vec(), &mut out);
+        self.take(out);
+    }
+
+    fn pass(&mut self, until: Duration) {
+        // Attempts whose time is over come first, as the sockets would report them.
+        while let Some((attempt, at)) = self.next_due().filter(|(_, at)| *at <= until) {
+            self.now = self.now.max(at);
+            self.end(attempt, Outcome::GivenUp);
+            self.check();
+        }
+        self.now = until;
+        let mut out = Vec::new();
+        self.below.tick(self.now, &mut out);
+        self.take(out);
+    }
+
+    fn next_due(&self) -> Option<(AttemptId, Duration)> {
+        self.open.iter().map(|(id, open)| (*id, open.give_up)).min_by_key(|(_, at)| *at)
+    }
+
+    fn step(&mut self, step: Step, number: u64) {
+        let mut out = Vec::new();
+        match step {
+            Step::Want { class, place, left, bytes } => {
+                let call = CallId(number);
+                self.calls.insert(call, (class, self.now + ms(left), false, 0));
+                let body = vec![0; bytes].into();
+                let wanted = Wanted { call, class, place, left: ms(left), body, kb: 30.0 };
+                self.below.wanted(self.now, wanted, &mut out);
+            }
+            Step::End { which, outcome } if !self.open.is_empty() => {
+                let attempt = *self.open.keys().nth(which % self.open.len()).unwrap();
+                self.end(attempt, outcome);
+            }
+            Step::Drop { which } if !self.calls.is_empty() => {
+                let call = *self.calls.keys().nth(which % self.calls.len()).unwrap();
+                self.below.dropped(self.now, call, &mut out);
+                self.calls.remove(&call);
+            }
+            Step::End { .. } | Step::Drop { .. } => {}
+            Step::Pass { ms: time } => self.pass(self.now + ms(time)),
+            Step::Reload { variant } => {
+                self.file = variants().swap_remove(variant);
+                self.below.reload(self.now, &self.file, &mut out);
+            }
+            Step::Leave => self.below.leave(),
+        }
+        self.take(out);
+        self.check();
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 250, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn whatever_happens_budgets_hold_and_each_call_has_one_end(steps in steps()) {
+        let mut witness = Witness::new();
+        let wanted = steps.iter().filter(|step| matches!(step, Step::Want { .. })).count() as u64;
+        let mut dropped = 0;
+        for (number, step) in steps.into_iter().enumerate() {
+            dropped += u64::from(matches!(step, Step::Drop { .. }) && !witness.calls.is_empty());
+            witness.step(step, number as u64);
+        }
+        for _ in 0..20 {
+            witness.pass(witness.now + ms(1000));
+            witness.check();
+        }
+        prop_assert!(witness.calls.is_empty() && witness.open.is_empty());
+        prop_assert_eq!(witness.ended + dropped, wanted);
+        for status in witness.below.status() {
+            prop_assert_eq!((status.in_hand, status.waiting, status.parked), (0, 0, 0));
+        }
+    }
+}
