--- /dev/null
+++ b/crates/node/src/cli.rs
@@ -0,0 +1,149 @@
+//! The command line.
+
+use crate::log::Form;
+use crate::{config, log};
+use clap::{Parser, Subcommand};
+use jaspershunt_operator::{File, Problem, explain};
+use std::process::ExitCode;
+use tracing::Level;
+
+/// Decides, inside one server of a fleet, what it takes, runs and turns away.
+///
+/// Without a command it serves balancers as the platform starts it: NODE_CONFIG names the platform's JSON file, and
+/// NODE_NAME and NODE_LISTEN, where they are set, go before what that file says.
+#[derive(Debug, Parser)]
+#[command(name = "jaspershunt", version, about, long_about)]
+pub struct Cli {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// What the program does.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve balancers until SIGTERM; SIGHUP reads the files again.
+    Serve(Serve),
+    /// Check an operator's file and say what is wrong with it.
+    ///
+    /// Every message names file, line, column, the key and what was expected. With a platform's file, named here or by
+    /// NODE_CONFIG, what does not fit its settings and limits is told as well. Exits with 0 if the file can be used, 1
+    /// if not, and 2 if a file cannot be read.
+    Check {
+        /// The operator's file, in HCL.
+        file: String,
+        /// The platform's file, in JSON.
+        #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
+        config: Option<String>,
+    },
+    /// Write an operator's file out with every default filled in.
+    Explain {
+        /// The operator's file, in HCL.
+        file: String,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// How to serve.
+#[derive(Clone, Debug, Default, clap::Args)]
+pub struct Serve {
+    /// The operator's own file, in HCL. Without it nothing but the platform's file counts.
+    #[arg(long, value_name = "FILE")]
+    pub operator: Option<String>,
+    /// How lines are written to standard error.
+    #[arg(long, value_name = "FORM", default_value = "text")]
+    pub log_format: Form,
+    /// The least level of lines that are written: error, warn, info, debug or trace.
+    #[arg(long, value_name = "LEVEL", default_value = "info")]
+    pub log_level: LogLevel,
+}
+
+/// A level of lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogLevel(pub Level);
+
+impl Default for LogLevel {
+    fn default() -> LogLevel {
+        LogLevel(Level::INFO)
+    }
+}
+
+impl std::str::FromStr for LogLevel {
+    type Err = &'static str;
+    fn from_str(text: &str) -> Result<LogLevel, &'static str> {
+        text.parse().map(LogLevel).map_err(|_| "expected error, warn, info, debug or trace")
+    }
+}
+
+/// The file cannot be used.
+const WRONG: u8 = 1;
+/// A file cannot be read.
+const UNREADABLE: u8 = 2;
+
+fn tell(problems: &[Problem]) -> ExitCode {
+    for problem in problems {
+        eprintln!("{problem}");
+    }
+    ExitCode::from(WRONG)
+}
+
+fn read(path: &str) -> Result<File, ExitCode> {
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        eprintln!("{path}: cannot be read: {e}");
+        ExitCode::from(UNREADABLE)
+    })?;
+    jaspershunt_operator::read(path, &text).map_err(|problems| tell(&problems))
+}
+
+/// Carries out `check`.
+pub fn check(path: &str, config: Option<&str>) -> ExitCode {
+    let file = match read(path) {
+        Ok(file) => file,
+        Err(code) => return code,
+    };
+    if let Some(config) = config {
+        let platform = config::load(|name| match name {
+            "NODE_CONFIG" => Some(config.to_string()),
+            other => std::env::var(other).ok(),
+        });
+        let platform = match platform {
+            Ok(platform) => platform,
+            Err(e) => {
+                eprintln!("{config}: {e}");
+                return ExitCode::from(UNREADABLE);
+            }
+        };
+        let wrong = platform.against(&file);
+        if !wrong.is_empty() {
+            // These stand between two files: what is named is the key in the operator's.
+            wrong.iter().for_each(|what| eprintln!("{path}: {what}"));
+            return ExitCode::from(WRONG);
+        }
+    }
+    let (dependencies, routes) = (file.dependency.len(), file.route.len());
+    println!("{path}: good: {dependencies} dependencies, {routes} routes");
+    ExitCode::SUCCESS
+}
+
+/// Carries out `explain`.
+pub fn write_out(path: &str, json: bool) -> ExitCode {
+    match read(path) {
+        Ok(file) if json => match serde_json::to_string_pretty(&file) {
+            Ok(text) => println!("{text}"),
+            Err(e) => {
+                eprintln!("{path}: {e}");
+                return ExitCode::from(WRONG);
+            }
+        },
+        Ok(file) => print!("{}", explain::explain(&file)),
+        Err(code) => return code,
+    }
+    ExitCode::SUCCESS
+}
+
+/// Begins to write lines as it was asked for.
+pub fn start_log(serve: &Serve) {
+    log::start(serve.log_format, serve.log_level.0);
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,9 +1,12 @@
 //! The one place where configuration is read, checked and given defaults. Every message names the key at fault.
 
-use jaspershunt::Settings;
+use jaspershunt::{Repeat, Settings};
+use jaspershunt_operator::check::{Class, against_settings};
+use jaspershunt_operator::{File, Repeat as OperatorRepeat};
 use jaspershunt_settings::Names;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tinyjson::JsonValue;
 
@@ -21,6 +24,8 @@
 const KEPT_PART: usize = 6;
 const REQUESTS_PART: usize = 6;
 const UNWRITTEN_PART: usize = 6;
+/// The part of that for keys and results which replies kept to fall back on may take.
+const OPERATOR_KEPT_PART: usize = 4;
 /// Descriptors for what is not a balancer's connection: standard streams, the runtime, the listener, the
 /// interpreter, the directory, and the calls to the database.
 const OTHER_SOCKETS: usize = 96;
@@ -44,6 +49,10 @@
     pub names: Names,
     /// Bounds that follow from the limits.
     pub bounds: Bounds,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// The operator's own file, where there is one.
+    pub operator: Option<Rc<File>>,
 }
 
 /// Where those are that a nodo works with. These addresses may change while it runs; all else stays.
@@ -155,10 +164,60 @@
             requests: memory / REQUESTS_PART,
             unwritten: memory / UNWRITTEN_PART,
         },
+        seed: seed(object),
+        operator: None,
     })
 }
 
 impl Config {
+    /// Takes the operator's file, if it fits the settings and the limits.
+    ///
+    /// # Errors
+    /// All that does not fit, with the way to the key.
+    pub fn with_operator(mut self, file: File) -> Result<Config, Vec<String>> {
+        let wrong = self.against(&file);
+        if !wrong.is_empty() {
+            return Err(wrong);
+        }
+        if !file.dependency.is_empty() {
+            self.bounds.kept -= file.kept.bytes.0 as usize;
+        }
+        self.operator = Some(Rc::new(file));
+        Ok(self)
+    }
+
+    /// What of an operator's file does not fit the settings and the limits, with the way to the key.
+    pub fn against(&self, file: &File) -> Vec<String> {
+        let repeat = |repeat| match repeat {
+            Repeat::Safe => OperatorRepeat::Safe,
+            Repeat::Keyed(_) => OperatorRepeat::Keyed,
+            Repeat::Unsafe => OperatorRepeat::Unsafe,
+        };
+        let classes: Vec<Class> = (self.settings.classes.iter())
+            .map(|class| Class { name: &class.name, repeat: repeat(class.repeat), calls: class.calls })
+            .collect();
+        let told = |(key, what)| format!("{key}: {what}");
+        let mut wrong: Vec<String> = against_settings(file, &classes).into_iter().map(told).collect();
+        let connections: usize = file.dependency.values().map(|d| d.connections).sum();
+        if connections > self.bounds.calls {
+            let most = self.bounds.calls;
+            wrong.push(format!("dependency: the connections add up to {connections}, and there are {most}"));
+        }
+        if let Some(running) = &self.operator {
+            if file.kept.bytes > running.kept.bytes {
+                let most = running.kept.bytes;
+                wrong.push(format!("kept.bytes: was {most} at the start, and grows with a restart only"));
+            }
+            return wrong;
+        }
+        let most = self.bounds.kept / OPERATOR_KEPT_PART;
+        if !file.dependency.is_empty() && file.kept.bytes.0 as usize > most {
+            wrong
+                .push(format!("kept.bytes: must be {most}B at most: a part of what limits.memory_mb leaves"));
+        }
+        wrong
+    }
+
     /// The keys, other than those of the peers, in which a configuration that was read anew differs from this one. A
     /// nodo that runs keeps to what it started with there.
     pub fn kept_keys(&self, new: &Config) -> Vec<&'static str> {
@@ -199,6 +258,14 @@
     }
 }
 
+/// A number from the seed, whatever text that is; all random waits are made from it, and nothing else is random.
+fn seed(object: &HashMap<String, JsonValue>) -> u64 {
+    let Some(JsonValue::String(text)) = object.get("seed") else { return 0 };
+    // FNV-1a (Fowler, Noll and Vo): every byte counts.
+    let mix = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, mix)
+}
+
 fn address(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
     text.parse().or_else(|_| wrong(key, format_args!("must be an IP address with a port, got {text:?}")))
 }
--- a/crates/node/src/database.rs
+++ b/crates/node/src/database.rs
@@ -6,6 +6,7 @@
 use crate::socket;
 use jaspershunt::{Outcome, RequestId};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,7 +32,9 @@
     /// What the database knows the request by.
     pub uid: Rc<str>,
     /// The body, as the interpreter gave it.
-    pub body: Vec<u8>,
+    pub body: Rc<[u8]>,
+    /// Where it goes; `None` is the one database of the platform's configuration.
+    pub to: Option<Target>,
     /// Nothing may be left open as to whether it ran, since it cannot be made again: it gets a connection of its own. One
     /// that was idle may have been forgotten at the other end; what breaks it then looks like a call that ran.
     pub once: bool,
@@ -41,10 +44,38 @@
     pub given_up: oneshot::Receiver<()>,
 }
 
-/// The pool of connections: the idle ones, the last used last.
+/// A dependency of the operator's file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Its place; connections are kept apart by it.
+    pub dependency: usize,
+    /// The address for this call.
+    pub address: SocketAddr,
+    /// Connections to the dependency at most, idle ones included.
+    pub connections: usize,
+}
+
+/// The pool of connections to one dependency: the idle ones, the last used last.
 struct Pool {
-    address: SocketAddr,
-    idle: Vec<(Instant, TcpStream)>,
+    /// Where calls go that name no address; `None` where all do.
+    address: Option<SocketAddr>,
+    idle: Vec<(Instant, SocketAddr, TcpStream)>,
+    /// Connections that carry a call, or are being made for one.
+    busy: usize,
+    /// Connections at most, idle ones included.
+    most: usize,
+}
+
+/// The pools by dependency; the one of the platform's configuration is none of the operator's.
+type Pools = Rc<RefCell<BTreeMap<Option<usize>, Rc<RefCell<Pool>>>>>;
+
+/// Gives back the room of a connection when its call is over or dropped.
+struct Busy(Rc<RefCell<Pool>>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.borrow_mut().busy -= 1;
+    }
 }
 
 /// Makes the calls that come in, each in a task of its own and at most `most` at once, until no more can come. When
@@ -56,28 +87,33 @@
     mut calls: mpsc::Receiver<Call>,
 ) {
     let address = peers.borrow_and_update().database;
-    let pool = Rc::new(RefCell::new(Pool { address, idle: Vec::new() }));
+    let pools = Pools::default();
+    pools.borrow_mut().insert(None, Pool::new(Some(address), usize::MAX));
     let room = Rc::new(Semaphore::new(most));
     loop {
         let call = tokio::select! {
             // A call that comes behind a move goes to the new address.
             biased;
             Ok(()) = peers.changed() => {
-                pool.borrow_mut().move_to(peers.borrow_and_update().database);
+                if let Some(pool) = pools.borrow().get(&None) {
+                    pool.borrow_mut().move_to(peers.borrow_and_update().database);
+                }
                 continue;
             }
             call = calls.recv() => call,
         };
         let Some(call) = call else { return };
-        let (pool, room, engine) = (pool.clone(), room.clone(), engine.clone());
+        let pool = pool_for(&pools, call.to);
+        let (room, engine) = (room.clone(), engine.clone());
         tokio::task::spawn_local(async move {
-            let Call { id, number, uid, body, once, give_up_after, mut given_up } = call;
+            let Call { id, number, uid, body, once, give_up_after, mut given_up, to } = call;
+            let to = to.map(|to| to.address);
             let began = Instant::now();
             tokio::select! {
                 biased;
                 // The connection closes as the call is dropped, which gives the call up below.
                 _ = &mut given_up => {}
-                end = make(&pool, &room, &uid, &body, once, give_up_after) => {
+                end = make(&pool, &room, to, &uid, &body, once, give_up_after) => {
                     let took = began.elapsed().as_secs_f64();
                     let _ = engine.send(Input::CallEnded { id, number, end, took }).await;
                 }
@@ -86,9 +122,20 @@
     }
 }
 
+/// The pool for a call, with what the call says of its dependency.
+fn pool_for(pools: &Pools, to: Option<Target>) -> Rc<RefCell<Pool>> {
+    let mut pools = pools.borrow_mut();
+    let pool = pools.entry(to.map(|to| to.dependency)).or_insert_with(|| Pool::new(None, 0));
+    if let Some(to) = to {
+        pool.borrow_mut().most = to.connections;
+    }
+    pool.clone()
+}
+
 async fn make(
-    pool: &RefCell<Pool>,
+    pool: &Rc<RefCell<Pool>>,
     room: &Semaphore,
+    to: Option<SocketAddr>,
     uid: &str,
     body: &[u8],
     once: bool,
@@ -97,9 +144,16 @@
     let failed = |outcome| CallEnd { outcome, body: Vec::new() };
     let exchange = async {
         let Ok(_permit) = room.acquire().await else { return failed(Outcome::Unreachable) };
-        let (address, reused) = {
-            let mut pool = pool.borrow_mut();
-            (pool.address, if once { None } else { pool.take() })
+        let (address, reused, _busy) = {
+            let mut held = pool.borrow_mut();
+            let Some(address) = to.or(held.address) else { return failed(Outcome::Unreachable) };
+            let reused = if once { None } else { held.take(address) };
+            held.busy += 1;
+            // Idle ones make room for one that is in use: together they stay within the bound.
+            let room = held.most.saturating_sub(held.busy);
+            let beyond = held.idle.len().saturating_sub(room);
+            held.idle.drain(..beyond);
+            (address, reused, Busy(pool.clone()))
         };
         let mut stream = match reused {
             Some(stream) => stream,
@@ -126,13 +180,19 @@
 }
 
 impl Pool {
+    fn new(address: Option<SocketAddr>, most: usize) -> Rc<RefCell<Pool>> {
+        Rc::new(RefCell::new(Pool { address, idle: Vec::new(), busy: 0, most }))
+    }
+
     /// An idle connection that is surely open. Only those that are tried are looked at: each look is a system call.
-    fn take(&mut self) -> Option<TcpStream> {
+    fn take(&mut self, address: SocketAddr) -> Option<TcpStream> {
         let now = Instant::now();
-        self.idle.retain(|(since, _)| now.duration_since(*since) < IDLE);
-        while let Some(place) = self.idle.iter().rposition(|(since, _)| now.duration_since(*since) >= SETTLED)
-        {
-            let (_, stream) = self.idle.remove(place);
+        self.idle.retain(|(since, ..)| now.duration_since(*since) < IDLE);
+        let fits = |(since, at, _): &(Instant, SocketAddr, TcpStream)| {
+            *at == address && now.duration_since(*since) >= SETTLED
+        };
+        while let Some(place) = self.idle.iter().rposition(fits) {
+            let (_, _, stream) = self.idle.remove(place);
             if socket::silent(&stream) {
                 return Some(stream);
             }
@@ -142,15 +202,16 @@
 
     /// Keeps a connection to this address for another call, unless the database has moved meanwhile or enough are kept.
     fn put_back(&mut self, address: SocketAddr, stream: TcpStream) {
-        if address == self.address && self.idle.len() < MAX_IDLE {
-            self.idle.push((Instant::now(), stream));
+        let here = self.address.is_none_or(|here| here == address);
+        if here && self.idle.len() < MAX_IDLE && self.idle.len() + self.busy <= self.most {
+            self.idle.push((Instant::now(), address, stream));
         }
     }
 
     /// The database has moved: what is idle at its old address takes no more calls.
     fn move_to(&mut self, address: SocketAddr) {
-        if address != self.address {
-            (self.address, self.idle) = (address, Vec::new());
+        if Some(address) != self.address {
+            (self.address, self.idle) = (Some(address), Vec::new());
         }
     }
 }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -60,7 +60,7 @@
             if let Some(e) = &failed {
                 next = Instant::now() + RETRY_AFTER;
                 if !fails {
-                    log!("directory: report failed: {e}");
+                    log!(WARN, "directory: report failed: {e}");
                 }
             }
             fails = failed.is_some();
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -11,7 +11,7 @@
 use crate::interpreter::{self, Command};
 use crate::keys::{Keys, NotTaken, Run, print};
 use crate::log;
-use crate::request::{Answer, Key, Reply, ReplyTo, Work};
+use crate::request::{Answer, Key, Label, Reply, ReplyTo, Work};
 use jaspershunt::{Action, Controller, Event, Gauges, Halt, Outcome, Repeat, Request, RequestId, Settings};
 use jaspershunt_settings::{Names, gauge_mut};
 use std::collections::{BTreeMap, HashMap};
@@ -20,7 +20,9 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep};
 
+mod below;
 pub mod input;
+use below::Several;
 use input::{CallEnd, Input, Message, QUEUE, RunEnd};
 
 /// Calls that wait to be made.
@@ -85,9 +87,9 @@
         /// The notice that asked for the call.
         pos: u64,
         /// The call's body.
-        content: Vec<u8>,
-        /// The number of the call that was made, and what gives it up when dropped.
-        made: Option<(u64, oneshot::Sender<()>)>,
+        content: Rc<[u8]>,
+        /// The number of the call that was made, and what gives it up when dropped; several dependencies have their own.
+        made: Option<(u64, Option<oneshot::Sender<()>>)>,
     },
     /// Waits for the run of another try of its key.
     Follows,
@@ -105,12 +107,26 @@
     place: Place,
     /// It was started at least once.
     started: bool,
+    /// Calls that its run has asked for.
+    calls: usize,
+    held_kb: f64,
+    /// What its answer will have to say of itself.
+    label: Label,
+    /// When the oldest kept reply came that its run was given, on the module's clock.
+    stale_since: Option<Duration>,
 }
 
 impl Entry {
     fn runs(&self) -> bool {
         matches!(self.place, Place::Running | Place::AtCall { .. })
     }
+
+    /// What its answer says of itself at this time of the module's clock.
+    fn label(&self, now: f64) -> Option<Box<Label>> {
+        let stale = self.stale_since.map(|since| (now - since.as_secs_f64()).max(0.0) * 1000.0);
+        let label = Label { stale_ms: stale.map(|ms| ms.ceil() as u64), ..self.label.clone() };
+        (label != Label::default()).then(|| Box::new(label))
+    }
 }
 
 /// The task's state.
@@ -137,6 +153,8 @@
     good: bool,
     link_up: bool,
     calls: u64,
+    /// What decides on calls where the operator's file names dependencies.
+    several: Option<Several>,
     /// Wakes that wait for the gauges, and the tag under which those were asked for.
     wakes: Vec<u64>,
     tag: u64,
@@ -148,11 +166,13 @@
 impl Engine {
     /// An engine that has heard nothing yet.
     pub fn new(config: &Config, clock: Clock, ways: Ways) -> Engine {
+        let mut settings = config.settings.clone();
+        let several = Several::new(config, Duration::from_secs_f64(CLOCK_START), &mut settings);
         Engine {
             clock,
             epoch: clock.now() - CLOCK_START,
             now: CLOCK_START,
-            settings: config.settings.clone(),
+            settings,
             names: config.names.clone(),
             classes: config.settings.classes.iter().map(|c| interpreter::quoted(&c.name)).collect(),
             stop: config.stop,
@@ -167,6 +187,7 @@
             good: true,
             link_up: false,
             calls: 0,
+            several,
             wakes: Vec::new(),
             tag: 0,
             owed: 0,
@@ -208,7 +229,7 @@
         match input {
             Input::Work { id, work, reply } => self.arrive(id, work, reply),
             Input::Check { reply } => {
-                reply.send(Reply { answer: Answer::Health { good: self.good }, say: self.say });
+                reply.send(Reply::new(Answer::Health { good: self.good }, self.say));
             }
             Input::Gone { id } => self.gone(id),
             Input::Heard(message) => self.heard(message),
@@ -229,7 +250,12 @@
             Input::NoGauges { tag } if tag == self.tag => self.wake(Gauges::default()),
             Input::NoGauges { .. } => {}
             Input::Lost { id } => self.lost(id),
+            Input::BelowDue => self.below_due(),
+            Input::Operator(file) => self.take_up(&file),
             Input::Leave => {
+                if let Some(several) = &mut self.several {
+                    several.leave();
+                }
                 self.stop_at = Some(self.now + self.stop.as_secs_f64() - STOP_AHEAD);
                 self.good = false;
                 self.leave();
@@ -253,18 +279,18 @@
         if self.module.is_none() {
             // No request comes before the interpreter is up; one that does finds a nodo that cannot run it.
             let stay_away = self.settings.max_stay_away;
-            reply.send(Reply { answer: Answer::Refused { stay_away, last: false }, say });
+            reply.send(Reply::new(Answer::Refused { stay_away, last: false }, say));
             return;
         }
         if self.by_uid.contains_key(&work.uid) {
-            reply.send(Reply { answer: Answer::Bad, say });
+            reply.send(Reply::new(Answer::Bad, say));
             return;
         }
         // A peer's word is taken only within what a request can have waited: the module learns from these times.
         let arrived = work.arrived.map_or(self.now, |unix| unix - self.epoch);
         let deadline = self.settings.classes[work.class].deadline;
         if arrived > self.now + AHEAD || arrived < self.now - deadline - BEHIND {
-            reply.send(Reply { answer: Answer::Bad, say });
+            reply.send(Reply::new(Answer::Bad, say));
             return;
         }
         let arrived = arrived.max(self.now - deadline).min(self.now);
@@ -275,13 +301,13 @@
             match self.keys.arrived(key, print(work.class, &work.body), id, self.now, held) {
                 Ok(earlier) => repeats = earlier,
                 Err(NotTaken::OtherBody) => {
-                    reply.send(Reply { answer: Answer::Bad, say });
+                    reply.send(Reply::new(Answer::Bad, say));
                     return;
                 }
                 // What cannot be remembered cannot be kept from running twice.
                 Err(NotTaken::Full) => {
                     let stay_away = self.settings.max_stay_away;
-                    reply.send(Reply { answer: Answer::Refused { stay_away, last: false }, say });
+                    reply.send(Reply::new(Answer::Refused { stay_away, last: false }, say));
                     return;
                 }
             }
@@ -310,6 +336,10 @@
             reply: Some(reply),
             place: Place::Held,
             started: false,
+            calls: 0,
+            held_kb: work.held_kb,
+            label: Label::default(),
+            stale_since: None,
         };
         self.requests.insert(id, entry);
     }
@@ -318,7 +348,11 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let Some(reply) = entry.reply.take() else { return };
-        reply.send(Reply { answer, say: self.say });
+        let label = match answer {
+            Answer::Served(_) => entry.label(self.now),
+            _ => None,
+        };
+        reply.send(Reply { answer, say: self.say, label });
         self.owed -= 1;
         self.let_go(id);
     }
@@ -341,6 +375,7 @@
     }
 
     fn remove(&mut self, id: RequestId) {
+        self.give_up_call(id);
         let Some(entry) = self.requests.remove(&id) else { return };
         self.by_uid.remove(&entry.uid);
         if let Some(key) = &entry.key {
@@ -354,7 +389,7 @@
     /// Guards against a notice that never comes: the run would take a place in the module for ever.
     fn lost(&mut self, id: RequestId) {
         if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs()) {
-            log!("the end of run {} was never heard of", entry.uid);
+            log!(WARN, "the end of run {} was never heard of", entry.uid);
             self.events.push(Event::Ended { id, outcome: Outcome::Stopped });
             self.remove(id);
         }
@@ -372,8 +407,10 @@
             }
             Message::Await { pos, uid, content } => {
                 let Some(id) = self.by_uid.get(&uid).copied() else { return };
+                self.give_up_call(id);
                 let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
-                entry.place = Place::AtCall { pos, content, made: None };
+                entry.place = Place::AtCall { pos, content: content.into(), made: None };
+                entry.calls += 1;
                 self.events.push(Event::CallWanted { id });
             }
             Message::Gauges { tag, readings, .. } => {
@@ -390,7 +427,7 @@
             Message::Rejected { command, uid } => {
                 // An order to stop may cross the end of its run.
                 if command != "BREAK" {
-                    log!("interpreter: {command} of {uid} was not carried out");
+                    log!(WARN, "interpreter: {command} of {uid} was not carried out");
                 }
                 if let Some(id) = self.by_uid.get(&uid).copied()
                     && command == "APPLY"
@@ -428,8 +465,9 @@
     }
 
     fn run_ended(&mut self, id: RequestId, end: RunEnd) {
-        let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
         // A call that is still out is given up with this.
+        self.give_up_call(id);
+        let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
         entry.place = Place::Held;
         let key = entry.key.clone();
         let over = entry.reply.is_none();
@@ -481,7 +519,7 @@
     fn command(&self, command: Command) -> bool {
         let sent = self.ways.interpreter.try_send(command).is_ok();
         if !sent {
-            log!("interpreter: too many commands wait");
+            log!(WARN, "interpreter: too many commands wait");
         }
         sent
     }
@@ -509,6 +547,9 @@
     // Calls.
 
     fn call_ended(&mut self, id: RequestId, number: u64, end: CallEnd, took: f64) {
+        if self.several.is_some() {
+            return self.attempt_ended(number, end, took);
+        }
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let Place::AtCall { made, .. } = &mut entry.place else { return };
         // A call that was given up for a later one says nothing any more.
@@ -519,26 +560,32 @@
         if end.outcome == Outcome::Done {
             entry.place = Place::Running;
             let uid = entry.uid.clone();
-            self.command(Command::Resolve { uid, content: end.body });
+            self.command(Command::Resolve { uid, content: end.body.into() });
         }
         self.events.push(Event::CallEnded { id, outcome: end.outcome, took });
     }
 
     fn make_call(&mut self, id: RequestId, give_up_after: f64) {
+        // An earlier call of this request is given up as its place is taken.
+        self.give_up_call(id);
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let Place::AtCall { content, made, .. } = &mut entry.place else { return };
         let deadline = self.settings.classes[entry.class].deadline;
         let give_up_after = if give_up_after > 0.0 { give_up_after.min(deadline) } else { deadline };
         self.calls += 1;
         let number = self.calls;
+        if self.several.is_some() {
+            *made = Some((number, None));
+            return self.want_call(id, number, Duration::from_secs_f64(give_up_after));
+        }
         let (give_up, given_up) = oneshot::channel();
-        // An earlier call of this request is given up as its place is taken.
-        *made = Some((number, give_up));
+        *made = Some((number, Some(give_up)));
         let call = database::Call {
             id,
             number,
             uid: entry.uid.clone(),
             body: content.clone(),
+            to: None,
             once: self.settings.classes[entry.class].repeat != Repeat::Safe,
             give_up_after: Duration::from_secs_f64(give_up_after),
             given_up,
@@ -563,10 +610,14 @@
             Action::ServeFrom(id) => self.follow(id),
             Action::Call { id, give_up_after } => self.make_call(id, give_up_after),
             Action::SkipCall(id) => {
+                self.give_up_call(id);
                 if let Some(entry) = self.requests.get_mut(&id)
                     && let Place::AtCall { pos, .. } = entry.place
                 {
                     entry.place = Place::Running;
+                    if let Some(several) = &self.several {
+                        several.label(entry);
+                    }
                     let uid = entry.uid.clone();
                     self.command(Command::Stub { uid, pos });
                 }
@@ -607,7 +658,7 @@
             && !resumes
         {
             if self.keys.run(&key).is_some() {
-                log!("request {} must not run: another try of it did", entry.uid);
+                log!(ERROR, "request {} must not run: another try of it did", entry.uid);
                 return self.follow(id);
             }
             let window = match self.settings.classes[entry.class].repeat {
@@ -618,6 +669,10 @@
         }
         entry.place = Place::Running;
         entry.started = true;
+        if !resumes {
+            // A run that begins anew asks for its calls again.
+            (entry.calls, entry.label, entry.stale_since) = (0, Label::default(), None);
+        }
         let command = Command::Apply {
             uid: entry.uid.clone(),
             class: self.classes[entry.class].clone(),
@@ -634,7 +689,7 @@
         let unsafe_ran = entry.started && !matches!(self.settings.classes[entry.class].repeat, Repeat::Safe);
         let key_ran = entry.key.as_ref().is_some_and(|key| self.keys.run(key).is_some());
         if unsafe_ran || key_ran {
-            log!("request {} must not be turned away: it ran", entry.uid);
+            log!(ERROR, "request {} must not be turned away: it ran", entry.uid);
             self.answer(id, Answer::Failed);
         } else {
             self.answer(id, Answer::Refused { stay_away, last });
--- /dev/null
+++ b/crates/node/src/engine/below.rs
@@ -0,0 +1,228 @@
+//! The engine's side of several dependencies: carries out what [`jaspershunt_dependencies`] decides, and shows the module
+//! one outcome for each call that it asked for.
+
+use super::{Engine, Entry, Place};
+use crate::config::Config;
+use crate::database::{Call, Target};
+use crate::engine::input::{CallEnd, Input};
+use crate::interpreter::Command;
+use crate::log;
+use jaspershunt::{Below, Event, Outcome, RequestId, Settings};
+use jaspershunt_dependencies::{Action, AttemptId, CallId, Dependencies, End, Room, Wanted};
+use jaspershunt_operator::File;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// The part of the crowd that the cores survive, and of the memory, that runs parked at calls may take, at all
+/// dependencies together. Ours: the module holds 0.8 of the crowd at most and counts what is parked as coming back all
+/// at once where runs cannot be paused; the rest is for those that do not call.
+const PARKED_PART: f64 = 0.6;
+
+/// What decides on calls, and what is under way for it.
+pub(super) struct Several {
+    decisions: Dependencies,
+    /// Each attempt is given up when its half is dropped.
+    attempts: HashMap<AttemptId, oneshot::Sender<()>>,
+    calls: HashMap<CallId, RequestId>,
+    /// When the next [`Input::BelowDue`] comes.
+    due: Option<Duration>,
+    /// Classes of which the file allows answers without a call.
+    without: Vec<bool>,
+    /// Their names, as the file has them.
+    classes: Vec<String>,
+}
+
+/// Classes, in the order of the settings, of which the file allows answers without a call.
+fn without(file: &File, classes: &[String]) -> Vec<bool> {
+    classes.iter().map(|name| file.route.get(name).is_some_and(|route| route.without)).collect()
+}
+
+impl Several {
+    /// What the operator's file asks for; `None` where it names no dependencies. Tells the module in its settings that it
+    /// has several below, and narrows the classes of which it may skip calls to those of which the file allows it.
+    pub fn new(config: &Config, now: Duration, settings: &mut Settings) -> Option<Several> {
+        let file = config.operator.as_ref().filter(|file| !file.dependency.is_empty())?;
+        let crowd = f64::from(settings.cores) * settings.crowd_multiple * PARKED_PART;
+        let room = Room { places: crowd.max(1.0) as usize, memory_kb: settings.memory_kb * PARKED_PART };
+        settings.below = Below::Several { parked: room.places as f64 };
+        let classes: Vec<String> = settings.classes.iter().map(|class| class.name.clone()).collect();
+        let without = without(file, &classes);
+        for (class, allowed) in settings.classes.iter_mut().zip(&without) {
+            if !allowed {
+                class.skip_worth = 0.0;
+            }
+        }
+        let decisions = Dependencies::new(file, &classes, room, config.seed, now);
+        let (attempts, calls) = (HashMap::new(), HashMap::new());
+        Some(Several { decisions, attempts, calls, due: None, without, classes })
+    }
+
+    /// The nodo leaves.
+    pub fn leave(&mut self) {
+        self.decisions.leave();
+    }
+
+    /// The run of a request goes on without its present call: its answer will lack what that would have brought.
+    pub fn label(&self, entry: &mut Entry) {
+        let name = self.decisions.asked_of(entry.class, entry.calls).unwrap_or("unknown");
+        if !entry.label.lacks.iter().any(|known| &**known == name) {
+            entry.label.lacks.push(name.into());
+        }
+    }
+}
+
+impl Engine {
+    /// The module wants a call made; it is number `number`.
+    pub(super) fn want_call(&mut self, id: RequestId, number: u64, left: Duration) {
+        let Some(entry) = self.requests.get(&id) else { return };
+        let Place::AtCall { content, .. } = &entry.place else { return };
+        let wanted = Wanted {
+            call: CallId(number),
+            class: entry.class,
+            place: entry.calls,
+            left,
+            body: content.clone(),
+            kb: entry.held_kb * self.settings.run_factor,
+        };
+        self.decide(|several, now, out| {
+            several.calls.insert(wanted.call, id);
+            several.decisions.wanted(now, wanted, out);
+        });
+    }
+
+    /// The call that a request waits for is given up, if there is one.
+    pub(super) fn give_up_call(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Place::AtCall { made, .. } = &mut entry.place else { return };
+        let Some((number, _give_up)) = made.take() else { return };
+        self.decide(|several, now, out| {
+            several.calls.remove(&CallId(number));
+            several.decisions.dropped(now, CallId(number), out);
+        });
+    }
+
+    pub(super) fn attempt_ended(&mut self, number: u64, end: CallEnd, took: f64) {
+        let attempt = AttemptId(number);
+        let took = Duration::from_secs_f64(took.max(0.0));
+        self.decide(|several, now, out| {
+            several.attempts.remove(&attempt);
+            several.decisions.ended(now, attempt, end.outcome, took, end.body, out);
+        });
+    }
+
+    pub(super) fn below_due(&mut self) {
+        self.decide(|several, now, out| {
+            several.due = None;
+            several.decisions.tick(now, out);
+        });
+    }
+
+    /// Takes up an operator's file that was read anew, as far as a nodo that runs can.
+    pub(super) fn take_up(&mut self, file: &File) {
+        let stays = "the operator's file before stays in force";
+        let Some(several) = &self.several else {
+            return log!(WARN, "dependencies come and go with a restart only; {stays}");
+        };
+        if file.dependency.is_empty() {
+            return log!(WARN, "dependencies come and go with a restart only; {stays}");
+        }
+        // The module was told at its start of which classes it may skip calls.
+        let changed = without(file, &several.classes);
+        if let Some(place) = changed.iter().zip(&several.without).position(|(new, old)| new != old) {
+            return log!(
+                WARN,
+                "route.{}.without changes with a restart only; {stays}",
+                several.classes[place]
+            );
+        }
+        self.decide(|several, now, out| several.decisions.reload(now, file, out));
+        log!("the operator's file is in use as it was read again");
+    }
+
+    /// Has something decided and carries out what follows.
+    fn decide(&mut self, decide: impl FnOnce(&mut Several, Duration, &mut Vec<Action>)) {
+        let now = Duration::from_secs_f64(self.now);
+        let Some(several) = &mut self.several else { return };
+        let mut out = Vec::new();
+        decide(several, now, &mut out);
+        let mut actions = VecDeque::from(out);
+        while let Some(action) = actions.pop_front() {
+            if let Some(attempt) = self.carry_out_below(action) {
+                // It never left: there was no room in the way to the connections.
+                let Some(several) = &mut self.several else { return };
+                several.attempts.remove(&attempt);
+                let mut out = Vec::new();
+                let unreachable = Outcome::Unreachable;
+                several.decisions.ended(now, attempt, unreachable, Duration::ZERO, Vec::new(), &mut out);
+                actions.extend(out);
+            }
+        }
+        self.arm_below(now);
+    }
+
+    /// Sees to it that the engine hears when the next change by time alone is due.
+    fn arm_below(&mut self, now: Duration) {
+        let Some(several) = &mut self.several else { return };
+        let Some(next) = several.decisions.next_tick(now) else { return };
+        if several.due.is_none_or(|due| next < due) {
+            several.due = Some(next);
+            self.after(next.saturating_sub(now), Input::BelowDue);
+        }
+    }
+
+    /// Carries out one action; returns an attempt that could not be sent.
+    fn carry_out_below(&mut self, action: Action) -> Option<AttemptId> {
+        let several = self.several.as_mut()?;
+        match action {
+            Action::Attempt { call, attempt, dependency, address, connections, give_up_after, once } => {
+                let id = *several.calls.get(&call)?;
+                let entry = self.requests.get(&id)?;
+                let Place::AtCall { content, .. } = &entry.place else { return Some(attempt) };
+                let (give_up, given_up) = oneshot::channel();
+                several.attempts.insert(attempt, give_up);
+                let call = Call {
+                    id,
+                    number: attempt.0,
+                    uid: entry.uid.clone(),
+                    body: content.clone(),
+                    to: Some(Target { dependency, address, connections }),
+                    once,
+                    give_up_after,
+                    given_up,
+                };
+                return self.ways.database.try_send(call).is_err().then_some(attempt);
+            }
+            // The connection closes as its half is dropped.
+            Action::Abandon { attempt } => drop(several.attempts.remove(&attempt)),
+            Action::End { call, end } => {
+                if let Some(id) = several.calls.remove(&call) {
+                    self.call_over(id, end);
+                }
+            }
+            Action::Note(text) => log!("{text}"),
+        }
+        None
+    }
+
+    fn call_over(&mut self, id: RequestId, end: End) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Place::AtCall { made, .. } = &mut entry.place else { return };
+        *made = None;
+        let (content, outcome, took): (Option<Rc<[u8]>>, _, _) = match end {
+            End::Reply { body, took } => (Some(body.into()), Outcome::Done, took),
+            End::Kept { body, since } => {
+                entry.stale_since = Some(entry.stale_since.map_or(since, |oldest| oldest.min(since)));
+                (Some(body), Outcome::Done, Duration::ZERO)
+            }
+            End::Nothing { outcome, took } => (None, outcome, took),
+        };
+        if let Some(content) = content {
+            entry.place = Place::Running;
+            let uid = entry.uid.clone();
+            self.command(Command::Resolve { uid, content });
+        }
+        self.events.push(Event::CallEnded { id, outcome, took: took.as_secs_f64() });
+    }
+}
--- a/crates/node/src/engine/input.rs
+++ b/crates/node/src/engine/input.rs
@@ -40,14 +40,18 @@
     CallEnded {
         /// Its request.
         id: RequestId,
-        /// Which call of the request it was.
+        /// Which call of the request it was; with an operator's file, which attempt at it.
         number: u64,
         /// How it ended.
         end: CallEnd,
         /// How long it took, in seconds.
         took: f64,
     },
-    /// The time of an [`Action::Wake`] has come.
+    /// A time has come that the decisions on dependencies asked for.
+    BelowDue,
+    /// The operator's file was read anew.
+    Operator(Rc<jaspershunt_operator::File>),
+    /// The time of an [`Action::Wake`](jaspershunt::Action::Wake) has come.
     Woke {
         /// Its token.
         token: u64,
--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -100,7 +100,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => start(stream, peer, &front),
                 Err(e) => {
-                    log!("cannot accept a connection: {e}");
+                    log!(WARN, "cannot accept a connection: {e}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
@@ -173,7 +173,7 @@
     /// Tells the operator what a peer did wrong, now and then: there can be very many.
     fn fault(&self, peer: SocketAddr, what: &dyn std::fmt::Display) {
         if let Some(more) = self.faults.borrow_mut().admit_now() {
-            log!("fault of a peer, {peer}: {what} (and {more} of others since the last line)");
+            log!(WARN, "fault of a peer, {peer}: {what} (and {more} of others since the last line)");
         }
     }
 }
@@ -430,7 +430,7 @@
             }
             Step::Oversize(id) => {
                 self.front.fault(self.peer, &"a request is over its size");
-                self.answer(id, &Reply { answer: Answer::Bad, say: None })?;
+                self.answer(id, &Reply::new(Answer::Bad, None))?;
             }
             Step::Ended { close } => self.closing |= close,
         }
@@ -454,7 +454,7 @@
             }
             Err(problem) => {
                 front.fault(self.peer, &problem);
-                reply.send(Reply { answer: Answer::Bad, say: None });
+                reply.send(Reply::new(Answer::Bad, None));
             }
         }
     }
--- a/crates/node/src/fastcgi/records.rs
+++ b/crates/node/src/fastcgi/records.rs
@@ -181,6 +181,14 @@
             let _ = write!(text, "X-Stop-Trying: 1\r\n");
         }
     }
+    if let Some(label) = &reply.label {
+        if !label.lacks.is_empty() {
+            let _ = write!(text, "X-Answer-Lacks: {}\r\n", label.lacks.join(", "));
+        }
+        if let Some(ms) = label.stale_ms {
+            let _ = write!(text, "X-Answer-Stale-Ms: {ms}\r\n");
+        }
+    }
     let _ = write!(text, "\r\n");
     text.extend(body);
     for part in text.chunks(MAX_CONTENT) {
--- a/crates/node/src/interpreter.rs
+++ b/crates/node/src/interpreter.rs
@@ -55,7 +55,7 @@
         /// The request.
         uid: Rc<str>,
         /// The reply, as it came.
-        content: Vec<u8>,
+        content: Rc<[u8]>,
     },
     /// Go on without a call.
     Stub {
@@ -217,7 +217,7 @@
 
     fn note(&mut self, pos: u64) {
         if pos > self.pos + 1 {
-            log!("interpreter: {} notices are lost", pos - self.pos - 1);
+            log!(ERROR, "interpreter: {} notices are lost", pos - self.pos - 1);
         }
         self.pos = pos;
     }
@@ -251,7 +251,7 @@
         if let Err(e) = ended
             && !known_down
         {
-            log!("interpreter: no link to {address}: {e}");
+            log!(WARN, "interpreter: no link to {address}: {e}");
             known_down = true;
         }
         if began.elapsed() < RECONNECT {
@@ -349,7 +349,7 @@
                         return Ok(caught_up);
                     }
                 }
-                Err(problem) => log!("interpreter: a line {problem}"),
+                Err(problem) => log!(WARN, "interpreter: a line {problem}"),
             }
         }
         if rest.len() > MAX_LINE {
@@ -387,7 +387,7 @@
         memory.send(Command::Apply { uid: uid(), class: "c".into(), body: [].into() }, &mut out);
         assert_eq!(unsure(&memory), ["apply"]);
         assert!(memory.heard(&wait(1)));
-        memory.send(Command::Resolve { uid: uid(), content: vec![] }, &mut out);
+        memory.send(Command::Resolve { uid: uid(), content: vec![].into() }, &mut out);
         // A notice that comes again tells nothing of what was sent since.
         assert!(!memory.heard(&wait(1)));
         assert_eq!(unsure(&memory), ["resolve"]);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,8 +3,10 @@
 //! [`engine`] is the one task that owns the module; everything reaches it through one queue, in the types of
 //! [`request`], which know no protocol. Round it: [`fastcgi`] speaks with balancers, [`interpreter`] with what does
 //! the work, [`database`] and [`directory`] (over [`http`]) with what all nodos share. [`keys`] remembers what may
-//! not run twice, [`config`] is where configuration is read, and [`server`] puts the parts together.
+//! not run twice, [`config`] is where the platform's configuration is read, [`cli`] is the command line, and [`server`]
+//! puts the parts together.
 
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod database;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -1,6 +1,12 @@
-//! Lines for the operator on standard error, a bounded number of them a second.
+//! Lines for the operator on standard error: text or JSON, by level, a bounded number of them a second.
 
+use std::fmt;
 use std::sync::Mutex;
+use tracing::field::{Field, Visit};
+use tracing::{Event, Level, Subscriber};
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::registry::LookupSpan;
 
 /// Lines a second; more are counted and left out, so that no peer can fill a disk or take the core with them.
 const LINES_PER_SECOND: u32 = 25;
@@ -46,22 +52,78 @@
     LIMITER.lock().map_or(Some(0), |mut limiter| limiter.admit_now())
 }
 
-/// Writes a line to standard error, unless too many were written in this second.
+/// How lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Form {
+    /// `jaspershunt: ` and the text; a level is named where it is not that of ordinary lines.
+    #[default]
+    Text,
+    /// One JSON object a line, with time, level and text.
+    Json,
+}
+
+/// Writes lines of this level and those above it to standard error from now on. A second call changes nothing.
+pub fn start(form: Form, least: Level) {
+    let lines = tracing_subscriber::fmt().with_max_level(least).with_writer(std::io::stderr);
+    // An error means that lines are written already.
+    let _ = match form {
+        Form::Text => lines.event_format(Text).try_init(),
+        Form::Json => lines.json().flatten_event(true).with_target(false).try_init(),
+    };
+}
+
+/// The text form.
+struct Text;
+
+impl<S, N> FormatEvent<S, N> for Text
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(&self, _: &FmtContext<'_, S, N>, mut to: Writer<'_>, event: &Event<'_>) -> fmt::Result {
+        write!(to, "jaspershunt: ")?;
+        if *event.metadata().level() != Level::INFO {
+            write!(to, "{}: ", event.metadata().level().as_str().to_lowercase())?;
+        }
+        let mut message = Message(&mut to, Ok(()));
+        event.record(&mut message);
+        message.1?;
+        writeln!(to)
+    }
+}
+
+/// Writes the text of a line, which is the one field that lines have here.
+struct Message<'a, 'b>(&'a mut Writer<'b>, fmt::Result);
+
+impl Visit for Message<'_, '_> {
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        if field.name() == "message" {
+            self.1 = write!(self.0, "{value:?}");
+        }
+    }
+}
+
+/// Writes a line, unless too many were written in this second. A level other than INFO comes first: `log!(WARN, "…")`.
 #[macro_export]
 macro_rules! log {
-    ($($arg:tt)*) => {
+    ($level:ident, $($arg:tt)*) => {
         if let Some(dropped) = $crate::log::admit() {
             if dropped > 0 {
-                eprintln!("jaspershunt: {dropped} lines were left out here");
+                ::tracing::warn!("{dropped} lines were left out here");
             }
-            eprintln!("jaspershunt: {}", format_args!($($arg)*));
+            ::tracing::event!(::tracing::Level::$level, $($arg)*);
         }
     };
+    ($($arg:tt)*) => {
+        $crate::log!(INFO, $($arg)*)
+    };
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::io::Write;
+    use std::sync::Arc;
 
     #[test]
     fn a_flood_of_lines_is_cut_and_counted() {
@@ -71,4 +133,34 @@
         assert_eq!(limiter.admit(8), Some(100 - u64::from(LINES_PER_SECOND)));
         assert_eq!(limiter.admit(8), Some(0));
     }
+
+    #[derive(Clone, Default)]
+    struct Lines(Arc<Mutex<Vec<u8>>>);
+
+    impl Write for Lines {
+        fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+            self.0.lock().unwrap().write(bytes)
+        }
+        fn flush(&mut self) -> std::io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn a_line_of_text_names_its_level_only_where_it_is_not_the_ordinary_one() {
+        let lines = Lines::default();
+        let to = lines.clone();
+        let subscriber = tracing_subscriber::fmt()
+            .with_max_level(Level::INFO)
+            .with_writer(move || to.clone())
+            .event_format(Text)
+            .finish();
+        tracing::subscriber::with_default(subscriber, || {
+            tracing::info!("n{} is up", 3);
+            tracing::warn!("a \"word\"");
+            tracing::debug!("not this");
+        });
+        let written = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+        assert_eq!(written, "jaspershunt: n3 is up\njaspershunt: warn: a \"word\"\n");
+    }
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,9 +1,13 @@
-//! One nodo: serves balancers until it is told to leave.
+//! One nodo: serves balancers until it is told to leave; and what an operator needs beside it.
 
+use clap::Parser;
+use jaspershunt_node::cli::{self, Cli, Command, Serve};
 use jaspershunt_node::clock::Clock;
-use jaspershunt_node::{config, log, server};
+use jaspershunt_node::config::{self, Config};
+use jaspershunt_node::{log, server};
 use std::io;
 use std::process::ExitCode;
+use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,10 +19,35 @@
 }
 
 fn main() -> ExitCode {
-    let config = match config::load(variable) {
+    match Cli::parse().command {
+        None => serve(&Serve::default()),
+        Some(Command::Serve(how)) => serve(&how),
+        Some(Command::Check { file, config }) => cli::check(&file, config.as_deref()),
+        Some(Command::Explain { file, json }) => cli::write_out(&file, json),
+    }
+}
+
+/// The configuration, with the operator's file if there is one.
+fn configuration(how: &Serve) -> Result<Config, String> {
+    let config = config::load(variable).map_err(|e| format!("configuration: {e}"))?;
+    let Some(path) = &how.operator else { return Ok(config) };
+    let file = jaspershunt_operator::load(path).map_err(|problems| one_line(problems.iter()))?;
+    config.with_operator(file).map_err(|wrong| format!("{path}: {}", one_line(wrong.iter())))
+}
+
+/// The first of several messages, and how many there are beside it.
+fn one_line<T: ToString>(mut messages: impl ExactSizeIterator<Item = T>) -> String {
+    let more = messages.len().saturating_sub(1);
+    let first = messages.next().map_or(String::new(), |first| first.to_string());
+    if more > 0 { format!("{first} (and {more} more: see check)") } else { first }
+}
+
+fn serve(how: &Serve) -> ExitCode {
+    cli::start_log(how);
+    let config = match configuration(how) {
         Ok(config) => config,
         Err(e) => {
-            log!("configuration: {e}");
+            log!(ERROR, "{e}");
             return ExitCode::FAILURE;
         }
     };
@@ -39,20 +68,32 @@
                 }
             };
             let (moves, peers) = watch::channel(config.peers);
+            let (operators, operator) = watch::channel(None);
             let running = config.clone();
+            let path = how.operator.clone();
             spawn_local(async move {
                 while hangup.recv().await.is_some() {
                     server::reload(&running, config::load(variable), &moves);
+                    let Some(path) = &path else { continue };
+                    let read = jaspershunt_operator::load(path).map_err(|problems| one_line(problems.iter()));
+                    let fits = read.and_then(|file| match running.against(&file) {
+                        wrong if wrong.is_empty() => Ok(file),
+                        wrong => Err(format!("{path}: {}", one_line(wrong.iter()))),
+                    });
+                    match fits {
+                        Ok(file) => operators.send_modify(|operator| *operator = Some(Rc::new(file))),
+                        Err(e) => log!(ERROR, "{e}; the one before stays in force"),
+                    }
                 }
             });
-            server::run(config, Clock::System, listener, peers, leave).await;
+            server::run(config, Clock::System, listener, peers, operator, leave).await;
             Ok::<(), io::Error>(())
         })
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            log!("{e}");
+            log!(ERROR, "{e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -175,6 +175,15 @@
     },
 }
 
+/// What a served answer says of itself where it was not made from whole and fresh replies.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Label {
+    /// The dependencies that it was made without, by name, each once.
+    pub lacks: Vec<Rc<str>>,
+    /// The age of the oldest kept reply that it was made from, in milliseconds.
+    pub stale_ms: Option<u64>,
+}
+
 /// An answer with the number that callers are told on every answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reply {
@@ -182,6 +191,15 @@
     pub answer: Answer,
     /// The free number, once there is one.
     pub say: Option<f64>,
+    /// What a served answer says of itself; `None` where it is complete.
+    pub label: Option<Box<Label>>,
+}
+
+impl Reply {
+    /// An answer with nothing to say of itself.
+    pub fn new(answer: Answer, say: Option<f64>) -> Reply {
+        Reply { answer, say, label: None }
+    }
 }
 
 /// Where the one reply to a request goes. The receiver has room for as many replies as it lets requests be open, so
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -6,6 +6,7 @@
 use crate::engine::{self, Engine, Idle, Ways};
 use crate::fastcgi::connection::{Front, accept};
 use crate::{database, directory, interpreter, log};
+use jaspershunt_operator::File;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -25,7 +26,7 @@
 pub fn reload(running: &Config, read: Result<Config, ConfigError>, moves: &watch::Sender<Peers>) {
     let new = match read {
         Ok(new) => new,
-        Err(e) => return log!("configuration: {e}; the one before stays in force"),
+        Err(e) => return log!(WARN, "configuration: {e}; the one before stays in force"),
     };
     let moved = moves.send_if_modified(|peers| std::mem::replace(peers, new.peers) != new.peers);
     let kept = running.kept_keys(&new);
@@ -39,12 +40,13 @@
 }
 
 /// Runs a nodo on a listener until it is told to leave and has left. Needs to run in a local set. The addresses in
-/// `peers` take the place of those in `config`.
+/// `peers` take the place of those in `config`, and a file in `operator` that of the one before.
 pub async fn run(
     config: Config,
     clock: Clock,
     listener: TcpListener,
     peers: watch::Receiver<Peers>,
+    mut operator: watch::Receiver<Option<Rc<File>>>,
     leave: impl Future<Output = ()>,
 ) {
     let (engine_in, engine_out) = mpsc::channel(input::QUEUE);
@@ -64,6 +66,14 @@
     spawn_local(Engine::new(&config, clock, ways).run(engine_out));
     spawn_local(interpreter::keep_link(peers.clone(), engine_in.clone(), commands_out));
     spawn_local(database::make_calls(peers.clone(), config.bounds.calls, engine_in.clone(), calls_out));
+    let to_engine = engine_in.downgrade();
+    spawn_local(async move {
+        while operator.changed().await.is_ok() {
+            let file = operator.borrow_and_update().clone();
+            let (Some(file), Some(engine)) = (file, to_engine.upgrade()) else { continue };
+            let _ = engine.send(Input::Operator(file)).await;
+        }
+    });
     let name = config.name.clone();
     spawn_local(async move { directory::report(peers, &name, mode_out).await });
     let front = Rc::new(Front::new(&config, engine_in.clone(), idle_out));
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -208,6 +208,7 @@
     pub directory: Option<Peer>,
     pub link: Peer,
     pub moves: watch::Sender<Peers>,
+    pub operators: watch::Sender<Option<std::rc::Rc<jaspershunt_operator::File>>>,
     pub leave: Option<oneshot::Sender<()>>,
     pub done: JoinHandle<()>,
 }
@@ -231,12 +232,23 @@
         let (leave, told) = oneshot::channel();
         let config = config(address, vm, directory, db);
         let (moves, peers) = watch::channel(config.peers);
-        let done = spawn_local(server::run(config, Clock::System, front, peers, async {
+        let (operators, operator) = watch::channel(None);
+        let done = spawn_local(server::run(config, Clock::System, front, peers, operator, async {
             let _ = told.await;
         }));
         let link = Peer::accept(&interpreter).await;
         (
-            Nodo { address, interpreter, database, directory: None, link, moves, leave: Some(leave), done },
+            Nodo {
+                address,
+                interpreter,
+                database,
+                directory: None,
+                link,
+                moves,
+                operators,
+                leave: Some(leave),
+                done,
+            },
             lookup,
         )
     }
--- a/crates/node/tests/nodo.rs
+++ b/crates/node/tests/nodo.rs
@@ -300,7 +300,7 @@
     /// Has a connection bring a request and answers it.
     async fn use_once(&mut self, peer: &mut Peer) {
         peer.send(request(9, 9, "read", &[], b"")).await;
-        self.reply_to().await.send(Reply { answer: Answer::Failed, say: None });
+        self.reply_to().await.send(Reply::new(Answer::Failed, None));
         assert!(peer.answer().await.unwrap().1.starts_with("Status: 500 "));
     }
 }
@@ -344,7 +344,7 @@
             peer.send([request(1, 1, "read", &[], b""), rest].concat()).await;
             let reply_to = alone.reply_to().await;
             tokio::time::sleep(Duration::from_secs(30)).await;
-            reply_to.send(Reply { answer: Answer::Failed, say: None });
+            reply_to.send(Reply::new(Answer::Failed, None));
             assert!(peer.answer().await.unwrap().1.starts_with("Status: 500 "));
             assert_eq!(peer.record().await, None);
         }
@@ -403,7 +403,7 @@
         }
         alone.connect().await;
         assert_eq!(quiet.record().await, None);
-        reply_to.send(Reply { answer: Answer::Failed, say: None });
+        reply_to.send(Reply::new(Answer::Failed, None));
         assert!(owed.answer().await.is_some());
     });
 }
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -4,7 +4,7 @@
 use common::*;
 use jaspershunt::{Outcome, RequestId};
 use jaspershunt_node::config::{self, Peers};
-use jaspershunt_node::database::{Call, make_calls};
+use jaspershunt_node::database::{Call, Target, make_calls};
 use jaspershunt_node::directory::{Mode, report};
 use jaspershunt_node::engine::input::{CallEnd, Input};
 use std::net::SocketAddr;
@@ -19,6 +19,7 @@
     number: u64,
     moves: watch::Sender<Peers>,
     once: bool,
+    to: Option<Target>,
 }
 
 impl Pool {
@@ -27,15 +28,16 @@
         let (calls, out) = mpsc::channel(10);
         let (moves, peers) = watch::channel(all_at(address));
         spawn_local(make_calls(peers, 4, engine, out));
-        Pool { calls, inputs, number: 0, moves, once: false }
+        Pool { calls, inputs, number: 0, moves, once: false, to: None }
     }
 
     async fn call(&mut self, give_up_after: Duration) -> oneshot::Sender<()> {
         self.number += 1;
         let (give_up, given_up) = oneshot::channel();
-        let (uid, body) = ("00000000000000ab".into(), b"query".to_vec());
+        let (uid, body, to) = ("00000000000000ab".into(), b"query"[..].into(), self.to);
         let once = self.once;
-        let call = Call { id: RequestId(1), number: self.number, uid, body, once, give_up_after, given_up };
+        let call =
+            Call { id: RequestId(1), number: self.number, uid, body, to, once, give_up_after, given_up };
         self.calls.send(call).await.unwrap();
         give_up
     }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -349,7 +349,7 @@
         Span::ms(500)
     }
     pub fn longest() -> Span {
-        Span::ms(15_000)
+        Span::ms(2000)
     }
     pub fn probes() -> usize {
         2
--- a/crates/operator/src/tests.rs
+++ b/crates/operator/src/tests.rs
@@ -209,3 +209,27 @@
         assert!(told[0].what.contains("this is no HCL"), "{:?}", told[0]);
     }
 }
+
+/// The example shows every key, and its comments tell the truth where they speak of defaults.
+#[test]
+fn the_example_is_good_and_shows_everything_that_can_be_set() {
+    let text = include_str!("../../../deploy/operator-example.hcl");
+    let file = read("operator-example.hcl", text).unwrap();
+    let written = explain::explain(&file);
+    for line in written.lines().filter_map(|line| line.trim().split_once(" = ")) {
+        assert!(text.contains(&format!(" {} ", line.0)), "{} is not shown", line.0);
+    }
+    let registro = &file.dependency["registro"];
+    assert_eq!((&registro.breaker, &registro.limit), (&Breaker::default(), &Limit::default()));
+    assert_eq!((&file.retries, &file.kept), (&Retries::default(), &Kept::default()));
+    let padron = &file.dependency["padron"];
+    assert_eq!(
+        (registro.waiting, registro.wait, registro.bytes),
+        (padron.waiting, padron.wait, padron.bytes)
+    );
+    assert_eq!(
+        (registro.linger, registro.timeout, registro.guests),
+        (padron.linger, padron.timeout, padron.guests)
+    );
+    assert_eq!((padron.calls, padron.connections, padron.share), (16, 16, Share::percent(25.0)));
+}
--- /dev/null
+++ b/deploy/operator-example.hcl
@@ -0,0 +1,85 @@
+# An operator's file with everything that can be set, and what it stands for. Figures are the defaults unless a comment
+# says otherwise; `jaspershunt explain FILE` writes any file out with all of them filled in.
+#
+# Durations carry a unit ("250ms", "2s", "5m", "1h"), sizes too ("512B", "64KiB", "2MiB"), shares are "25%", rates "200/s".
+# A nodo reads this file only if it is started with `serve --operator FILE`, and again on SIGHUP.
+
+# What lies below. The name stands in answers that had to do without it.
+dependency "registro" {
+  addresses   = ["127.0.0.1:5441", "127.0.0.1:5442"] # needed; the next one is used when one cannot be reached
+  calls       = 24       # calls in hand at most, those given up included until they are surely over (default 16)
+  waiting     = 16       # calls that wait for room at most
+  wait        = "250ms"  # and for how long
+  bytes       = "256KiB" # bodies of calls, waiting and in hand
+  rate        = "400/s"  # calls begun a second (default: no bound)
+  connections = 24       # connections open at once, idle ones included (default 16)
+  share       = "40%"    # of the nodo's parked runs and their memory, for runs that wait for this (default 25%)
+  linger      = "200ms"  # how long a call that was given up may go on below
+  timeout     = "2s"     # an attempt is given up after this, or when its request has no more time
+  guests      = "25%"    # of the present limit, for calls that fell back on this from another
+
+  limit {
+    learned = true # find out how many calls in hand do good, below `calls`; else `calls` it is
+    start   = 4
+    least   = 1
+  }
+
+  breaker {
+    window     = "5s"  # the calls that are looked at
+    failures   = "50%" # it opens when so many of them failed,
+    slow       = "1s"  # or when a call that takes longer is a slow one
+    slow_calls = "80%" # and so many of them were slow or failed;
+    least      = 10    # fewer calls than this say nothing
+    wait       = "500ms" # open for so long, twice as long each further time, a quarter more or less,
+    longest    = "2s"  # up to this
+    probes     = 2     # then so many calls at once try it, and as many must go well
+  }
+}
+
+dependency "padron" {
+  addresses = ["127.0.0.1:5443"]
+  fall_back = "padron-copia" # where calls go that this one cannot take, or failed; chains must not go round
+}
+
+dependency "padron-copia" {
+  addresses = ["127.0.0.1:5444"]
+  share     = "10%"
+}
+
+# Where the calls of a class go: by their place in the run, from "1"; "any" is for the rest.
+route "consulta-estado" {
+  repeat  = "safe" # safe, keyed or unsafe, as the platform's settings have it
+  without = true   # may be answered without a call; the answer says so in X-Answer-Lacks (default false)
+
+  call "1" {
+    to   = "padron"
+    kept = "30s" # a reply to the same call this young may stand in; the answer says so in X-Answer-Stale-Ms (default: none)
+  }
+  call "any" {
+    to        = "registro"
+    elsewhere = true # may go on to what the dependency falls back on
+  }
+}
+
+route "verificar-firma" {
+  repeat = "safe"
+  call "any" { to = "padron" }
+}
+
+# Keyed and unsafe classes can allow neither `without` nor `kept`.
+route "registrar-firma" {
+  repeat = "keyed"
+  call "any" { to = "registro" }
+}
+
+# Attempts beyond the first, over all dependencies.
+retries {
+  share    = "10%" # so many for each first attempt
+  saved    = 10    # so many may be saved up
+  attempts = 3     # for one call
+}
+
+# Replies kept to fall back on.
+kept {
+  bytes = "1MiB"
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -107,6 +107,11 @@
     },
     /// Another tier of servers.
     NextTier,
+    /// Several things. What carries the calls out bounds and times them and makes them again; how one ends is final.
+    Several {
+        /// Requests that may be parked at calls.
+        parked: f64,
+    },
 }
 
 /// What a server is told when it starts.
@@ -216,6 +221,9 @@
             numbers.push(("below.fair_calls".to_string(), fair_calls));
             numbers.push(("below.over".to_string(), over));
         }
+        if let Below::Several { parked } = self.below {
+            numbers.push(("below.parked".to_string(), parked));
+        }
         for (i, c) in self.classes.iter().enumerate() {
             let fields = [
                 ("worth", c.worth),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -658,7 +658,10 @@
         if self.meter.flooded {
             return;
         }
-        let parked_bound = f64::from(self.set.cores) * PARKED_PER_CORE;
+        let parked_bound = match self.set.below {
+            Below::Several { parked } => parked,
+            _ => f64::from(self.set.cores) * PARKED_PER_CORE,
+        };
         let limit = self.limit.min(self.crowd_bound());
         while self.count(Stage::OnCore) < limit {
             if let Some((_, id)) = self.ledger.paused.first().copied() {
@@ -902,9 +905,11 @@
             return;
         };
         let class = &self.set.classes[l.request.class];
+        // What several things below do is measured where calls are made: one mean of all says nothing.
+        let several = matches!(self.set.below, Below::Several { .. });
         if outcome.never_ran() {
             self.calls.owed += MEASURE_EVERY;
-        } else {
+        } else if !several {
             // One that was given up would have taken longer, by how much is not known.
             let most = if outcome == Outcome::GivenUp { CALL_OVERDUE } else { f64::INFINITY };
             let took = took.min(most * self.calls.took.unwrap_or(took));
@@ -918,7 +923,7 @@
         // Ours: a reply that got lost on the way says nothing of what is below, so the call is made again
         // while that may earn its full worth. Could harm where too many calls are what loses them: not while
         // they are slow.
-        let lost = outcome == Outcome::Broken && !self.calls_slow();
+        let lost = outcome == Outcome::Broken && !self.calls_slow() && !several;
         let again = lost && class.repeat == Repeat::Safe && !l.answered && l.calls_lost < CALLS_LOST;
         if outcome == Outcome::Done {
             self.put(id, Stage::OnCore);
@@ -930,7 +935,7 @@
         } else if class.skip_worth > 0.0 && !l.answered {
             out.push(Action::SkipCall(id));
             self.put(id, Stage::OnCore);
-        } else if outcome.never_ran() || class.repeat == Repeat::Safe {
+        } else if !several && (outcome.never_ran() || class.repeat == Repeat::Safe) {
             self.put(id, Stage::WantsCall);
         } else {
             self.put(id, Stage::WantsCall);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -302,3 +302,49 @@
     let wanted = ids.map(|id| Event::CallWanted { id: RequestId(id) });
     assert_eq!(calls(&server.step(0.51, &wanted)).len(), 1);
 }
+
+/// Where several things lie below, what carries the calls out has bounded and repeated them. The module makes each at
+/// once, takes its end for final, and is not led by the length of one thing's calls to give up those of another; one
+/// that is turned away at once must not be wanted again in the same step for ever.
+#[test]
+fn calls_to_several_dependencies_are_all_made_and_each_end_is_final() {
+    let settings = Settings { cores: 8, below: Below::Several { parked: 100.0 }, ..settings() };
+    let mut server = Server::new(settings.clone());
+    let ids = [1, 2, 3, 4, 5];
+    server.step(0.0, &ids.map(|id| arrived(id, 0, id)));
+    let wanted = ids.map(|id| Event::CallWanted { id: RequestId(id) });
+    assert_eq!(calls(&server.step(0.1, &wanted)), ids);
+    let end = |id, outcome, took| Event::CallEnded { id: RequestId(id), outcome, took };
+    server.step(0.11, &[end(1, Outcome::Done, 0.001)]);
+    // Patience is the request's own time, though a call took 1 ms before.
+    let again = server.step(0.2, &[Event::CallWanted { id: RequestId(1) }]);
+    let patience = again.iter().find_map(|a| match a {
+        Action::Call { give_up_after, .. } => Some(*give_up_after),
+        _ => None,
+    });
+    assert!(patience > Some(1.0), "{patience:?}");
+    for (id, outcome) in [(2, Outcome::TurnedAway), (3, Outcome::Broken), (4, Outcome::GivenUp)] {
+        let actions = server.step(0.2, &[end(id, outcome, 0.1)]);
+        assert_eq!((calls(&actions), failed(&actions)), (vec![], vec![id]));
+    }
+    // A class that may go without does.
+    let mut classes = settings.classes.clone();
+    classes[0].skip_worth = 0.5;
+    let mut server = Server::new(Settings { classes, ..settings });
+    server.step(0.0, &[arrived(1, 0, 1)]);
+    server.step(0.1, &[Event::CallWanted { id: RequestId(1) }]);
+    let actions = server.step(0.2, &[end(1, Outcome::TurnedAway, 0.1)]);
+    assert!(actions.contains(&Action::SkipCall(RequestId(1))) && calls(&actions).is_empty());
+}
+
+#[test]
+fn the_parked_bound_of_several_dependencies_is_the_one_that_is_told() {
+    for (parked, runs_of) in [(2.0, vec![]), (3.0, vec![3])] {
+        let below = Below::Several { parked };
+        let mut server = Server::new(Settings { cores: 1, crowd_multiple: 20.0, below, ..settings() });
+        server.step(0.0, &[arrived(1, 0, 1)]);
+        server.step(0.1, &[Event::CallWanted { id: RequestId(1) }, arrived(2, 0, 2)]);
+        let actions = server.step(0.2, &[Event::CallWanted { id: RequestId(2) }, arrived(3, 0, 3)]);
+        assert_eq!(runs(&actions), runs_of, "{parked}");
+    }
+}
