Write stand-ins for all that a nodo speaks with, and break each dependency in its own way

Tests of several dependencies need peers with slots, crowds and faults, and a truth to hold answers against.

--- /dev/null
+++ b/crates/stand-ins/src/balancer.rs
@@ -0,0 +1,276 @@
+//! A balancer: sends requests over FastCGI 1.0, many at once on each of a few connections, and reads the answers.
+
+use crate::interpreter::Interpreter;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+
+const BEGIN_REQUEST: u8 = 1;
+const END_REQUEST: u8 = 3;
+const PARAMS: u8 = 4;
+const STDIN: u8 = 5;
+const STDOUT: u8 = 6;
+/// Requests that a connection carries at once.
+const MAX_OPEN: usize = 32;
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its class.
+    pub class: String,
+    /// Its tenant.
+    pub tenant: String,
+    /// What all its tries share, in keyed classes.
+    pub key: Option<String>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Its rank.
+    pub rank: f64,
+    /// It is a further try.
+    pub resent: bool,
+}
+
+impl Request {
+    /// An ordinary request.
+    pub fn new(class: &str, body: &[u8]) -> Request {
+        let (class, tenant) = (class.to_string(), "acme".to_string());
+        Request { class, tenant, key: None, body: body.to_vec(), rank: 0.5, resent: false }
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// The correlation id that the request was sent with.
+    pub uid: String,
+    /// The status; 0 where no whole answer came.
+    pub status: u16,
+    /// Its headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The time from the sending to the answer.
+    pub took: Duration,
+}
+
+impl Answer {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// What has come of an answer, and the way to who waits for the whole.
+type Open = (Vec<u8>, oneshot::Sender<Vec<u8>>);
+
+struct Connection {
+    out: mpsc::Sender<Vec<u8>>,
+    open: RefCell<BTreeMap<u16, Open>>,
+    next: Cell<u16>,
+    broken: Cell<bool>,
+}
+
+/// A balancer of one nodo.
+#[derive(Clone)]
+pub struct Balancer {
+    to: SocketAddr,
+    number: u64,
+    connections: Rc<RefCell<Vec<Rc<Connection>>>>,
+    sent: Rc<Cell<u64>>,
+    /// The time of day when it began, which then follows the runtime's clock: tests can pause that.
+    began: (Duration, Instant),
+    /// The free number that was heard last.
+    says: Rc<Cell<Option<f64>>>,
+    /// Learns of answers: on the platform a request that is over ends its run at a call.
+    interpreter: Option<Interpreter>,
+}
+
+impl Balancer {
+    /// A balancer with this number, which connects to the nodo when it first sends. The interpreter hears of its answers.
+    pub fn new(to: SocketAddr, number: u64, interpreter: Option<Interpreter>) -> Balancer {
+        let (connections, sent, says) = Default::default();
+        let began = (UNIX_EPOCH.elapsed().unwrap_or_default(), Instant::now());
+        Balancer { to, number, connections, sent, began, says, interpreter }
+    }
+
+    /// The free number that was heard last.
+    pub fn says(&self) -> Option<f64> {
+        self.says.get()
+    }
+
+    /// Sends a request and waits for the answer for so long.
+    pub async fn send(&self, request: &Request, patience: Duration) -> Answer {
+        let began = Instant::now();
+        self.sent.set(self.sent.get() + 1);
+        let uid = format!("{:04x}{:012x}", self.number & 0xffff, self.sent.get());
+        let answer = timeout(patience, self.exchange(request, &uid)).await.ok().flatten();
+        let mut answer = answer.unwrap_or_default();
+        if let Some(interpreter) = &self.interpreter {
+            interpreter.over(&uid);
+        }
+        (answer.uid, answer.took) = (uid, began.elapsed());
+        if let Some(says) = answer.header("x-backend-says").and_then(|text| text.parse().ok()) {
+            self.says.set(Some(says));
+        }
+        answer
+    }
+
+    fn now_ms(&self) -> u128 {
+        (self.began.0 + self.began.1.elapsed()).as_millis()
+    }
+
+    async fn exchange(&self, request: &Request, uid: &str) -> Option<Answer> {
+        let connection = self.connection().await?;
+        let id = loop {
+            let id = connection.next.get().max(1);
+            connection.next.set(id.wrapping_add(1));
+            if !connection.open.borrow().contains_key(&id) {
+                break id;
+            }
+        };
+        let (way, answered) = oneshot::channel();
+        connection.open.borrow_mut().insert(id, (Vec::new(), way));
+        connection.out.send(records(id, self.number, uid, self.now_ms(), request)).await.ok()?;
+        parse(&answered.await.ok()?)
+    }
+
+    async fn connection(&self) -> Option<Rc<Connection>> {
+        self.connections.borrow_mut().retain(|connection| !connection.broken.get());
+        let free = |connection: &&Rc<Connection>| connection.open.borrow().len() < MAX_OPEN;
+        if let Some(connection) = self.connections.borrow().iter().find(free) {
+            return Some(connection.clone());
+        }
+        let stream = TcpStream::connect(self.to).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (read, write) = stream.into_split();
+        let (out, waiting) = mpsc::channel(MAX_OPEN);
+        let (open, next, broken) = (RefCell::default(), Cell::new(1), Cell::new(false));
+        let connection = Rc::new(Connection { out, open, next, broken });
+        spawn_local(write_all(write, waiting));
+        spawn_local(read_all(connection.clone(), read));
+        self.connections.borrow_mut().push(connection.clone());
+        Some(connection)
+    }
+}
+
+async fn write_all(mut to: OwnedWriteHalf, mut waiting: mpsc::Receiver<Vec<u8>>) {
+    while let Some(bytes) = waiting.recv().await {
+        if to.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_all(connection: Rc<Connection>, mut from: OwnedReadHalf) {
+    let mut input: Vec<u8> = Vec::new();
+    loop {
+        while input.len() >= 8 {
+            let (kind, id) = (input[1], u16::from_be_bytes([input[2], input[3]]));
+            let length = usize::from(u16::from_be_bytes([input[4], input[5]]));
+            let whole = 8 + length + usize::from(input[6]);
+            if input.len() < whole {
+                break;
+            }
+            let content = input[8..8 + length].to_vec();
+            input.drain(..whole);
+            match kind {
+                STDOUT => {
+                    if let Some((text, _)) = connection.open.borrow_mut().get_mut(&id) {
+                        text.extend(content);
+                    }
+                }
+                END_REQUEST => {
+                    if let Some((mut text, way)) = connection.open.borrow_mut().remove(&id) {
+                        if content.get(4) == Some(&2) {
+                            text = b"Status: 503 Overloaded\r\n\r\n".to_vec();
+                        }
+                        let _ = way.send(text);
+                    }
+                }
+                _ => {}
+            }
+        }
+        if !matches!(from.read_buf(&mut input).await, Ok(1..)) {
+            connection.broken.set(true);
+            connection.open.borrow_mut().clear();
+            return;
+        }
+    }
+}
+
+fn parse(text: &[u8]) -> Option<Answer> {
+    let end = text.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&text[..end]).into_owned();
+    let headers: Vec<(String, String)> = head
+        .split("\r\n")
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
+        .collect();
+    let mut answer = Answer { headers, body: text[end + 4..].to_vec(), ..Answer::default() };
+    answer.status = answer.header("status")?.split(' ').next()?.parse().ok()?;
+    Some(answer)
+}
+
+fn put(out: &mut Vec<u8>, kind: u8, id: u16, content: &[u8]) {
+    let (id, length) = (id.to_be_bytes(), (content.len() as u16).to_be_bytes());
+    out.extend([1, kind, id[0], id[1], length[0], length[1], 0, 0]);
+    out.extend(content);
+}
+
+fn put_pair(out: &mut Vec<u8>, name: &str, value: &str) {
+    for text in [name, value] {
+        match u8::try_from(text.len()) {
+            Ok(short) if short < 128 => out.push(short),
+            _ => out.extend((text.len() as u32 | 1 << 31).to_be_bytes()),
+        }
+    }
+    out.extend(name.as_bytes());
+    out.extend(value.as_bytes());
+}
+
+fn records(id: u16, number: u64, uid: &str, arrived: u128, request: &Request) -> Vec<u8> {
+    let mut params = Vec::new();
+    let path = format!("/v1/{}", request.class);
+    let (arrived, number, rank) = (arrived.to_string(), number.to_string(), format!("{:.4}", request.rank));
+    for (name, value) in [
+        ("REQUEST_METHOD", "POST"),
+        ("SCRIPT_NAME", &path),
+        ("HTTP_X_CORRELATION_ID", uid),
+        ("HTTP_X_ARRIVED_MS", &arrived),
+        ("HTTP_X_UPSTREAM_PEER", &number),
+        ("HTTP_X_ORG", &request.tenant),
+        ("HTTP_X_NEED_KB", "20"),
+        ("HTTP_X_CRITICALITY", &rank),
+    ] {
+        put_pair(&mut params, name, value);
+    }
+    if let Some(key) = &request.key {
+        put_pair(&mut params, "HTTP_X_OPERATION_KEY", key);
+    }
+    if request.resent {
+        put_pair(&mut params, "HTTP_X_RESENT", "1");
+    }
+    let mut out = Vec::new();
+    // Role Responder, flag KEEP_CONN.
+    put(&mut out, BEGIN_REQUEST, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    put(&mut out, PARAMS, id, &params);
+    put(&mut out, PARAMS, id, b"");
+    if !request.body.is_empty() {
+        put(&mut out, STDIN, id, &request.body);
+    }
+    put(&mut out, STDIN, id, b"");
+    out
+}
--- /dev/null
+++ b/crates/stand-ins/src/dependency.rs
@@ -0,0 +1,350 @@
+//! A dependency with a fixed number of slots. A call waits for a slot and holds it for the time of the service, which
+//! grows when more calls are in hand than there are slots.
+
+use crate::http::{self, Request};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+/// So long after a connection was accepted those are counted that are open.
+const CROSSING: Duration = Duration::from_millis(2);
+
+/// How a dependency is made.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Its name, which stands in its replies.
+    pub name: String,
+    /// Calls that it works on at once.
+    pub slots: usize,
+    /// How long one takes.
+    pub service: Duration,
+    /// That time varies by this share each way.
+    pub spread: f64,
+    /// For each call beyond the slots, as a multiple of them, a call takes this share longer.
+    pub thrash: f64,
+    /// A call that was given up goes on for so long at most.
+    pub linger: Duration,
+    /// What all that is random is made from.
+    pub seed: u64,
+}
+
+impl Plan {
+    /// A dependency of so many slots and this time for a call, otherwise ordinary.
+    pub fn new(name: &str, slots: usize, service: Duration) -> Plan {
+        let linger = Duration::from_millis(100);
+        Plan { name: name.to_string(), slots, service, spread: 0.2, thrash: 0.3, linger, seed: 1 }
+    }
+}
+
+/// What a dependency does at present.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    /// What it should.
+    Good,
+    /// Each call takes so many times as long.
+    Slow(f64),
+    /// Each call fails at once, and may have had its effect.
+    Failing,
+    /// Each call is turned away.
+    Refusing,
+    /// Calls are taken and never answered.
+    Hanging,
+    /// Each call is answered after exactly this time.
+    After(Duration),
+    /// Connections are reset once a call was read.
+    Resetting,
+    /// Replies are noise.
+    Noisy,
+    /// Replies announce 3 GB and begin to come.
+    Endless,
+    /// Nothing listens.
+    Down,
+}
+
+/// How a call ended, as the dependency saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It has not.
+    Open,
+    /// It went well and was answered.
+    Well,
+    /// It failed and was answered so.
+    Failed,
+    /// It was turned away.
+    TurnedAway,
+    /// The nodo gave it up.
+    GivenUp,
+    /// It was answered with something that is no reply, or with a reset.
+    Spoilt,
+}
+
+/// A call, as the dependency saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The request that it was made for.
+    pub uid: String,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The time the nodo said it would wait.
+    pub timeout: Duration,
+    /// When it came, from the beginning.
+    pub came: Duration,
+    /// How it ended.
+    pub ended: Ended,
+    /// Calls in hand when it came, itself and those given up included.
+    pub in_hand: usize,
+}
+
+/// What crossed a dependency.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// All calls, in the order in which they came.
+    pub calls: Vec<Seen>,
+    /// The most that were in hand at any moment, those given up included that went on.
+    pub most_in_hand: usize,
+    /// The most connections at any moment.
+    pub most_connections: usize,
+}
+
+struct State {
+    plan: Plan,
+    address: SocketAddr,
+    began: Instant,
+    mode: Cell<Mode>,
+    changed: Notify,
+    slots: Semaphore,
+    in_hand: Cell<usize>,
+    connections: Cell<usize>,
+    random: RefCell<StdRng>,
+    record: RefCell<Record>,
+}
+
+/// A dependency that listens.
+#[derive(Clone)]
+pub struct Dependency(Rc<State>);
+
+/// Counts a call as in hand until it is dropped.
+struct InHand(Rc<State>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.in_hand.set(self.0.in_hand.get() - 1);
+    }
+}
+
+struct Connected(Rc<State>);
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+impl Dependency {
+    /// Starts one on a port of the system's choice.
+    ///
+    /// # Panics
+    /// Where loopback has no port left.
+    pub async fn start(plan: Plan) -> Dependency {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port on loopback");
+        let address = listener.local_addr().expect("an address");
+        let state = Rc::new(State {
+            address,
+            began: Instant::now(),
+            mode: Cell::new(Mode::Good),
+            changed: Notify::new(),
+            slots: Semaphore::new(plan.slots),
+            in_hand: Cell::new(0),
+            connections: Cell::new(0),
+            random: RefCell::new(StdRng::seed_from_u64(plan.seed)),
+            record: RefCell::default(),
+            plan,
+        });
+        spawn_local(listen(state.clone(), listener));
+        Dependency(state)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.0.plan.name
+    }
+
+    /// What it does from now on. Calls that hang are answered once it does something else.
+    pub fn set(&self, mode: Mode) {
+        self.0.mode.set(mode);
+        self.0.changed.notify_waiters();
+    }
+
+    /// What it does.
+    pub fn mode(&self) -> Mode {
+        self.0.mode.get()
+    }
+
+    /// What crossed it so far.
+    pub fn record(&self) -> std::cell::Ref<'_, Record> {
+        self.0.record.borrow()
+    }
+
+    /// Calls in hand, those given up included that go on.
+    pub fn in_hand(&self) -> usize {
+        self.0.in_hand.get()
+    }
+
+    /// Connections open.
+    pub fn connections(&self) -> usize {
+        self.0.connections.get()
+    }
+}
+
+async fn listen(state: Rc<State>, listener: TcpListener) {
+    let mut listener = Some(listener);
+    loop {
+        if state.mode.get() == Mode::Down {
+            // Without a listener the system itself refuses connections.
+            listener = None;
+            state.changed.notified().await;
+            continue;
+        }
+        let Some(listening) = &listener else {
+            listener = TcpListener::bind(state.address).await.ok();
+            if listener.is_none() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            continue;
+        };
+        tokio::select! {
+            accepted = listening.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                state.connections.set(state.connections.get() + 1);
+                let later = state.clone();
+                spawn_local(async move {
+                    // A close and an open that cross are seen in either order.
+                    sleep(CROSSING).await;
+                    let mut record = later.record.borrow_mut();
+                    record.most_connections = record.most_connections.max(later.connections.get());
+                });
+                let connected = Connected(state.clone());
+                spawn_local(async move {
+                    let _ = serve(&connected.0, stream).await;
+                    drop(connected);
+                });
+            }
+            () = state.changed.notified() => {}
+        }
+    }
+}
+
+async fn serve(state: &Rc<State>, mut stream: TcpStream) -> std::io::Result<()> {
+    let _ = stream.set_nodelay(true);
+    let mut input = Vec::new();
+    while let Some(request) = http::read(&mut stream, &mut input).await? {
+        if state.mode.get() == Mode::Down {
+            return reset(stream);
+        }
+        let (place, held) = note(state, &request);
+        let mut byte = [0];
+        // Nothing may come on a connection whose call is not answered: what comes is its end.
+        let end = tokio::select! {
+            end = work(state) => Some(end),
+            _ = stream.read(&mut byte) => None,
+        };
+        let Some(end) = end else {
+            state.record.borrow_mut().calls[place].ended = Ended::GivenUp;
+            // The call goes on below for a while, and takes a slot's place in what is in hand.
+            let linger = state.plan.linger;
+            spawn_local(async move {
+                sleep(linger).await;
+                drop(held);
+            });
+            return Ok(());
+        };
+        // Before the reply is written, since what comes back may be counted from then on.
+        drop(held);
+        state.record.borrow_mut().calls[place].ended = end;
+        let reply = match end {
+            Ended::Well => {
+                let body = format!("{}:{}", state.plan.name, String::from_utf8_lossy(&request.body));
+                http::reply("200 OK", "", body.as_bytes())
+            }
+            Ended::TurnedAway => http::reply("503 Busy", "Never-Started: 1\r\n", b""),
+            Ended::Spoilt => match state.mode.get() {
+                Mode::Noisy => b"\x00\x01noise\r\n\r\n".to_vec(),
+                Mode::Endless => {
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n").await?;
+                    let part = [b'x'; 4096];
+                    // Bounded, and ended by whoever has had enough of it first.
+                    for _ in 0..1000 {
+                        let written = timeout(Duration::from_secs(1), stream.write_all(&part)).await;
+                        written.map_err(|_| std::io::ErrorKind::TimedOut)??;
+                    }
+                    return Ok(());
+                }
+                _ => return reset(stream),
+            },
+            _ => http::reply("500 Error", "", b""),
+        };
+        stream.write_all(&reply).await?;
+    }
+    Ok(())
+}
+
+/// Ends a connection with a reset.
+fn reset(stream: TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+}
+
+fn note(state: &Rc<State>, request: &Request) -> (usize, InHand) {
+    state.in_hand.set(state.in_hand.get() + 1);
+    let held = InHand(state.clone());
+    let mut record = state.record.borrow_mut();
+    let in_hand = state.in_hand.get();
+    record.most_in_hand = record.most_in_hand.max(in_hand);
+    let uid = request.header("request-ref").to_string();
+    let ms = request.header("statement-timeout-ms").parse().unwrap_or(0);
+    let seen = Seen {
+        uid,
+        body: request.body.clone(),
+        timeout: Duration::from_millis(ms),
+        came: state.began.elapsed(),
+        ended: Ended::Open,
+        in_hand,
+    };
+    record.calls.push(seen);
+    (record.calls.len() - 1, held)
+}
+
+async fn work(state: &State) -> Ended {
+    match state.mode.get() {
+        Mode::Failing => return Ended::Failed,
+        Mode::Refusing => return Ended::TurnedAway,
+        Mode::Resetting | Mode::Noisy | Mode::Endless => return Ended::Spoilt,
+        Mode::After(time) => {
+            sleep(time).await;
+            return Ended::Well;
+        }
+        Mode::Hanging | Mode::Down => {
+            // What hangs does not come back by itself; the connection's end is what ends it.
+            std::future::pending::<()>().await;
+        }
+        Mode::Good | Mode::Slow(_) => {}
+    }
+    let Ok(_slot) = state.slots.acquire().await else { return Ended::Failed };
+    let spread = state.random.borrow_mut().random_range(-1.0..=1.0) * state.plan.spread;
+    let crowd = (state.in_hand.get() as f64 / state.plan.slots.max(1) as f64 - 1.0).max(0.0);
+    let slow = if let Mode::Slow(times) = state.mode.get() { times } else { 1.0 };
+    sleep(state.plan.service.mul_f64((1.0 + spread) * (1.0 + state.plan.thrash * crowd) * slow)).await;
+    Ended::Well
+}
--- /dev/null
+++ b/crates/stand-ins/src/interpreter.rs
@@ -0,0 +1,317 @@
+//! The interpreter: runs requests on so many cores, asks for the calls that its plan has for their class, and tells in
+//! each result what it got for them.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// Notices that are kept for a new link.
+const KEPT_NOTICES: usize = 4000;
+
+/// What a run of a class does.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    /// Time on a core before each call and after the last.
+    pub part: Duration,
+    /// Calls, one after another.
+    pub calls: usize,
+}
+
+/// What a run got for a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Got {
+    /// A reply.
+    Reply(Vec<u8>),
+    /// Word to go on without.
+    Nothing,
+}
+
+/// A run, as the interpreter saw it.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    /// The request.
+    pub uid: String,
+    /// Its class.
+    pub class: String,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// What it got for its calls.
+    pub got: Vec<Got>,
+    /// How it ended; `None` while it runs.
+    pub end: Option<&'static str>,
+}
+
+struct Running {
+    place: usize,
+    /// What the run waits for, with the notice that asked.
+    waits: Option<(u64, oneshot::Sender<Got>)>,
+    stop: Rc<Notify>,
+    over: bool,
+}
+
+struct State {
+    classes: BTreeMap<String, Work>,
+    cores: Semaphore,
+    /// Runs that have a core or wait for one.
+    on_cores: RefCell<usize>,
+    runs: RefCell<Vec<Ran>>,
+    running: RefCell<BTreeMap<String, Running>>,
+    notices: RefCell<VecDeque<(u64, String)>>,
+    pos: RefCell<u64>,
+    /// Told of each notice, and of each new link.
+    news: Notify,
+    link: RefCell<u64>,
+    began: Instant,
+}
+
+/// An interpreter that listens.
+#[derive(Clone)]
+pub struct Interpreter {
+    address: SocketAddr,
+    state: Rc<State>,
+}
+
+impl Interpreter {
+    /// Starts one on a port of the system's choice, warm, with so many cores.
+    ///
+    /// # Panics
+    /// Where loopback has no port left.
+    pub async fn start(cores: usize, classes: &[(&str, Work)]) -> Interpreter {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port on loopback");
+        let address = listener.local_addr().expect("an address");
+        let state = Rc::new(State {
+            classes: classes.iter().map(|(name, work)| (name.to_string(), work.clone())).collect(),
+            cores: Semaphore::new(cores),
+            on_cores: RefCell::new(0),
+            runs: RefCell::default(),
+            running: RefCell::default(),
+            notices: RefCell::default(),
+            pos: RefCell::new(0),
+            news: Notify::new(),
+            link: RefCell::new(0),
+            began: Instant::now(),
+        });
+        let all = state.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                // A new link replaces the one before.
+                *all.link.borrow_mut() += 1;
+                all.news.notify_waiters();
+                spawn_local(serve(all.clone(), stream));
+            }
+        });
+        Interpreter { address, state }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The request is over: it was answered. As the platform has it, a run that waits for a call ends there, and one that
+    /// is on a core ends at its next call.
+    pub fn over(&self, uid: &str) {
+        if let Some(run) = self.state.running.borrow_mut().get_mut(uid) {
+            run.over = true;
+            if run.waits.is_some() {
+                run.stop.notify_one();
+            }
+        }
+    }
+
+    /// All runs so far, in the order in which they began.
+    pub fn runs(&self) -> std::cell::Ref<'_, Vec<Ran>> {
+        self.state.runs.borrow()
+    }
+}
+
+async fn serve(state: Rc<State>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mine = *state.link.borrow();
+    let (read, mut write) = stream.into_split();
+    let mut lines = BufReader::new(read).lines();
+    let mut told = u64::MAX;
+    let mut output = Vec::new();
+    loop {
+        let news = state.news.notified();
+        if told != u64::MAX {
+            let notices = state.notices.borrow();
+            let first = notices.front().map_or(0, |(pos, _)| *pos);
+            let skipped = (told + 1).saturating_sub(first) as usize;
+            for (pos, notice) in notices.iter().skip(skipped) {
+                output.extend(notice.as_bytes());
+                told = *pos;
+            }
+        }
+        if *state.link.borrow() != mine || write.write_all(&output).await.is_err() {
+            return;
+        }
+        output.clear();
+        tokio::select! {
+            line = lines.next_line() => {
+                let Ok(Some(line)) = line else { return };
+                let Ok(command) = serde_json::from_str::<Value>(&line) else { return };
+                match command["action"].as_str() {
+                    Some("CONNECT") => {
+                        told = command["pos"].as_u64().unwrap_or(0);
+                        let age = state.began.elapsed().as_millis() as u64 + 60_000;
+                        output.extend(line_of(&json!({"action": "BANNER", "code": "WARM", "wall_ms": age})));
+                    }
+                    Some("TOP") => {
+                        // Those that wait for a core want one too; those at calls do not.
+                        let busy = *state.on_cores.borrow();
+                        let gauges = json!({"action": "TOPS", "echo": command["echo"], "meters": [0.5, busy, 0.1, 1]});
+                        output.extend(line_of(&gauges));
+                    }
+                    Some("APPLY") => apply(&state, &command),
+                    Some("BREAK") => {
+                        if let Some(run) = state.running.borrow().get(text(&command, "uid")) {
+                            run.stop.notify_one();
+                        }
+                    }
+                    Some("RESOLVE") => {
+                        let content = BASE64.decode(text(&command, "content")).unwrap_or_default();
+                        go_on(&state, text(&command, "uid"), None, Got::Reply(content));
+                    }
+                    Some("STUB") => {
+                        go_on(&state, text(&command, "uid"), command["pos"].as_u64(), Got::Nothing);
+                    }
+                    _ => return,
+                }
+            }
+            () = news => {}
+        }
+    }
+}
+
+fn text<'a>(command: &'a Value, name: &str) -> &'a str {
+    command[name].as_str().unwrap_or_default()
+}
+
+fn line_of(value: &Value) -> Vec<u8> {
+    format!("{value}\n").into_bytes()
+}
+
+fn go_on(state: &State, uid: &str, pos: Option<u64>, got: Got) {
+    if let Some(run) = state.running.borrow_mut().get_mut(uid)
+        && let Some((asked, way)) = run.waits.take_if(|(asked, _)| pos.is_none_or(|pos| pos == *asked))
+    {
+        let _ = asked;
+        state.runs.borrow_mut()[run.place].got.push(got.clone());
+        let _ = way.send(got);
+    }
+}
+
+/// Adds a notice; returns its number.
+fn notice(state: &State, mut value: Value) -> u64 {
+    let mut pos = state.pos.borrow_mut();
+    *pos += 1;
+    value["pos"] = json!(*pos);
+    let mut notices = state.notices.borrow_mut();
+    notices.push_back((*pos, format!("{value}\n")));
+    if notices.len() > KEPT_NOTICES {
+        notices.pop_front();
+    }
+    state.news.notify_waiters();
+    *pos
+}
+
+fn apply(state: &Rc<State>, command: &Value) {
+    let (uid, class) = (text(command, "uid").to_string(), text(command, "lane").to_string());
+    if state.running.borrow().contains_key(&uid) {
+        return;
+    }
+    let body = BASE64.decode(text(command, "content")).unwrap_or_default();
+    let stop = Rc::new(Notify::new());
+    let place = state.runs.borrow().len();
+    state.runs.borrow_mut().push(Ran { uid: uid.clone(), class, body, got: Vec::new(), end: None });
+    state
+        .running
+        .borrow_mut()
+        .insert(uid.clone(), Running { place, waits: None, stop: stop.clone(), over: false });
+    let state = state.clone();
+    spawn_local(async move {
+        let began = Instant::now();
+        let (end, content) = tokio::select! {
+            content = run(&state, &uid, place) => ("OK", content),
+            () = stop.notified() => ("STOPPED", String::new()),
+        };
+        state.running.borrow_mut().remove(&uid);
+        state.runs.borrow_mut()[place].end = Some(end);
+        let ms = began.elapsed().as_secs_f64() * 1000.0;
+        let content = BASE64.encode(content);
+        notice(
+            &state,
+            json!({"action": "VALUE", "uid": uid, "code": end, "wall_ms": ms, "content": content}),
+        );
+    });
+}
+
+/// Does the work of a run; its result names what it got for each call, in order.
+async fn run(state: &State, uid: &str, place: usize) -> String {
+    let (class, body) = {
+        let run = &state.runs.borrow()[place];
+        (run.class.clone(), String::from_utf8_lossy(&run.body).into_owned())
+    };
+    let work = state.classes.get(&class).cloned().unwrap_or_default();
+    let mut got = Vec::new();
+    for call in 1..=work.calls {
+        on_core(state, work.part).await;
+        let (way, answer) = oneshot::channel();
+        let content = BASE64.encode(format!("{body}#{call}"));
+        // The way must be there before the notice is, or the reply could come too soon.
+        let pos = *state.pos.borrow() + 1;
+        let over = match state.running.borrow_mut().get_mut(uid) {
+            Some(run) => {
+                run.waits = Some((pos, way));
+                run.over
+            }
+            None => true,
+        };
+        if over {
+            if let Some(run) = state.running.borrow().get(uid) {
+                run.stop.notify_one();
+            }
+            std::future::pending::<()>().await;
+        }
+        notice(state, json!({"action": "AWAIT", "uid": uid, "content": content}));
+        got.push(match answer.await {
+            Ok(Got::Reply(reply)) => String::from_utf8_lossy(&reply).into_owned(),
+            _ => "-".to_string(),
+        });
+    }
+    on_core(state, work.part).await;
+    format!("{class} {body} [{}]", got.join(", "))
+}
+
+async fn on_core(state: &State, time: Duration) {
+    let _counted = OnCore::new(state);
+    let Ok(_core) = state.cores.acquire().await else { return };
+    sleep(time).await;
+}
+
+/// Counts a run as on the cores until it is dropped, as when the run is stopped.
+struct OnCore<'a>(&'a State);
+
+impl<'a> OnCore<'a> {
+    fn new(state: &'a State) -> OnCore<'a> {
+        *state.on_cores.borrow_mut() += 1;
+        OnCore(state)
+    }
+}
+
+impl Drop for OnCore<'_> {
+    fn drop(&mut self) {
+        *self.0.on_cores.borrow_mut() -= 1;
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for all that a nodo speaks with, written from the platform's protocol page and the public specifications of
+//! HTTP/1.1 and FastCGI 1.0. They know nothing of the nodo's own code, so that both must be right for them to agree.
+//!
+//! Each listens on loopback at a port of the system's choice, does what its script says, and keeps a record of what
+//! crossed it; tests and experiments take the records for the truth. All need a local task set and one thread.
+//!
+//! - [`dependency`]: has slots, slows down when crowded, and can be slow, failing, refusing, hanging, down or noisy.
+//! - [`interpreter`]: runs requests on so many cores, asks for calls, and tells in each result what it got.
+//! - [`directory`]: takes reports.
+//! - [`balancer`]: sends requests over FastCGI and reads the answers.
+//! - [`script`]: what goes wrong, and when; from a list or from a seed.
+//! - [`truth`]: holds the answers of a nodo against the records.
+
+pub mod balancer;
+pub mod dependency;
+pub mod directory;
+mod http;
+pub mod interpreter;
+pub mod script;
+pub mod truth;
--- /dev/null
+++ b/crates/stand-ins/src/truth.rs
@@ -0,0 +1,138 @@
+//! Holds what a nodo answered against what the stand-ins recorded.
+
+use crate::balancer::{Answer, Request};
+use crate::dependency::{Dependency, Ended};
+use crate::interpreter::{Got, Interpreter, Ran};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A request and its answer.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// The request.
+    pub request: Request,
+    /// The answer.
+    pub answer: Answer,
+}
+
+/// What does not fit. Each list holds a line for each case.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Answers whose label differs from what was recorded.
+    pub labels: Vec<String>,
+    /// Keys of which more than one try ran.
+    pub doubled: Vec<String>,
+    /// Answers of keyed classes that lack something, or were made from kept replies, whatever they say.
+    pub partial: Vec<String>,
+    /// Requests without a whole answer.
+    pub unanswered: Vec<String>,
+    /// Tries that were turned away though they, or another try of their key, ran.
+    pub refused: Vec<String>,
+    /// Calls of keyed classes that were made again after one that may have had its effect.
+    pub repeated: Vec<String>,
+}
+
+impl Faults {
+    /// Whether all fits.
+    pub fn is_empty(&self) -> bool {
+        *self == Faults::default()
+    }
+}
+
+/// What an answer should say of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Truth {
+    lacks: bool,
+    stale: bool,
+}
+
+/// Compares all that was sent with the records.
+pub fn check(sent: &[Sent], interpreter: &Interpreter, dependencies: &[&Dependency]) -> Faults {
+    let mut faults = Faults::default();
+    let runs = interpreter.runs();
+    let mut by_uid: BTreeMap<&str, &Ran> = BTreeMap::new();
+    let mut tries: BTreeMap<(&str, &[u8]), usize> = BTreeMap::new();
+    for run in runs.iter() {
+        by_uid.insert(&run.uid, run);
+        *tries.entry((&run.class, &run.body)).or_default() += 1;
+    }
+    let mut keyed: BTreeSet<&str> = BTreeSet::new();
+    let well: BTreeSet<(String, Vec<u8>)> = dependencies
+        .iter()
+        .flat_map(|d| {
+            let record = d.record();
+            let well = record.calls.iter().filter(|call| call.ended == Ended::Well);
+            well.map(|call| (call.uid.clone(), call.body.clone())).collect::<Vec<_>>()
+        })
+        .collect();
+    for one in sent {
+        let uid = one.answer.uid.as_str();
+        let is_keyed = one.request.key.is_some();
+        if one.answer.status == 0 {
+            faults.unanswered.push(format!("{uid} of {}", one.request.class));
+        }
+        let ran = by_uid.get(uid).copied();
+        if is_keyed {
+            keyed.insert(uid);
+            let runs_of_key = tries.get(&(one.request.class.as_str(), one.request.body.as_slice()));
+            if one.answer.status == 503 && runs_of_key.is_some() && ran.is_some() {
+                faults.refused.push(format!("{uid} of {}", one.request.class));
+            }
+        }
+        if one.answer.status != 200 {
+            continue;
+        }
+        // A repeat is answered with what another try of its key made.
+        let same = |run: &&Ran| {
+            run.class == one.request.class && run.body == one.request.body && run.end == Some("OK")
+        };
+        let Some(run) = ran.or_else(|| runs.iter().find(same)) else {
+            faults.labels.push(format!("{uid} was served with what no run made"));
+            continue;
+        };
+        let truth = truth(run, &well);
+        let said = Truth {
+            lacks: one.answer.header("x-answer-lacks").is_some(),
+            stale: one.answer.header("x-answer-stale-ms").is_some(),
+        };
+        if said != truth {
+            faults.labels.push(format!("{uid} of {} says {said:?}, and it is {truth:?}", one.request.class));
+        }
+        if is_keyed && truth != Truth::default() {
+            faults.partial.push(format!("{uid} of {}: {truth:?}", one.request.class));
+        }
+    }
+    for ((class, body), runs) in &tries {
+        let of_key = |one: &&Sent| {
+            one.request.key.is_some() && one.request.class == **class && one.request.body == **body
+        };
+        if *runs > 1 && sent.iter().any(|one| of_key(&one)) {
+            faults.doubled.push(format!("{class} {} ran {runs} times", String::from_utf8_lossy(body)));
+        }
+    }
+    let mut effects: BTreeMap<(String, Vec<u8>), usize> = BTreeMap::new();
+    for dependency in dependencies {
+        for call in &dependency.record().calls {
+            if keyed.contains(call.uid.as_str()) && call.ended != Ended::TurnedAway {
+                *effects.entry((call.uid.clone(), call.body.clone())).or_default() += 1;
+            }
+        }
+    }
+    for ((uid, body), made) in effects.into_iter().filter(|(_, made)| *made > 1) {
+        faults.repeated.push(format!("{uid} {} was made {made} times", String::from_utf8_lossy(&body)));
+    }
+    faults
+}
+
+/// What the answer of a run should say: it lacks what the run was told to go on without, and is stale where a reply was
+/// given to it that no dependency gave to a call of its own.
+fn truth(run: &Ran, well: &BTreeSet<(String, Vec<u8>)>) -> Truth {
+    let mut truth = Truth::default();
+    for (place, got) in run.got.iter().enumerate() {
+        let call = [&run.body[..], format!("#{}", place + 1).as_bytes()].concat();
+        match got {
+            Got::Nothing => truth.lacks = true,
+            Got::Reply(_) => truth.stale |= !well.contains(&(run.uid.clone(), call)),
+        }
+    }
+    truth
+}
