Hold the port of a dependency that is down, so that no other test can take it

A test with all dependencies down failed once in a run of the whole workspace: another test's stand-in had been given the port that was free meanwhile, and answered. The stand-in now keeps a bound socket that does not listen beside its listener.

--- a/crates/stand-ins/src/dependency.rs
+++ b/crates/stand-ins/src/dependency.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -17,6 +17,9 @@
 /// So long after a connection was accepted those are counted that are open.
 const CROSSING: Duration = Duration::from_millis(2);
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// How a dependency is made.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -154,8 +157,8 @@
     /// # Panics
     /// Where loopback has no port left.
     pub async fn start(plan: Plan) -> Dependency {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port on loopback");
-        let address = listener.local_addr().expect("an address");
+        let holder = socket_at(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port on loopback");
+        let address = holder.local_addr().expect("an address");
         let state = Rc::new(State {
             address,
             began: Instant::now(),
@@ -168,7 +171,8 @@
             record: RefCell::default(),
             plan,
         });
-        spawn_local(listen(state.clone(), listener));
+        let listener = socket_at(address).and_then(|socket| socket.listen(BACKLOG)).expect("a listener");
+        spawn_local(listen(state.clone(), listener, holder));
         Dependency(state)
     }
 
@@ -209,7 +213,17 @@
     }
 }
 
-async fn listen(state: Rc<State>, listener: TcpListener) {
+/// A socket that is bound and does not listen; several can be bound to one address.
+fn socket_at(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// The holder keeps the port while nothing listens: given back, it could be taken by another test, and calls that should
+/// find nobody would find a stranger.
+async fn listen(state: Rc<State>, listener: TcpListener, _holder: TcpSocket) {
     let mut listener = Some(listener);
     loop {
         if state.mode.get() == Mode::Down {
@@ -219,7 +233,7 @@
             continue;
         }
         let Some(listening) = &listener else {
-            listener = TcpListener::bind(state.address).await.ok();
+            listener = socket_at(state.address).and_then(|socket| socket.listen(BACKLOG)).ok();
             if listener.is_none() {
                 sleep(Duration::from_millis(5)).await;
             }
