--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
-# What a maintainer needs; `.ci/run` runs the same. CONFIG is the file that `make run` gives the nodo.
+# What a maintainer needs; `.ci/run` runs the same. CONFIG is the file that `make run` gives the nodo, OUT a folder into
+# which `make measure-NAME` also writes its table and chart.
 CARGO ?= cargo
+LAB = target/release/jaspershunt-lab
 
-.PHONY: build test lint run
+.PHONY: build test lint run lab demo measure measure-dependencies
 
 build:
-	$(CARGO) build --release --workspace --locked
+	$(CARGO) build --release --locked
 
 test:
 	$(CARGO) test --workspace --locked
@@ -15,3 +17,14 @@
 
 run: build
 	NODE_CONFIG=$(CONFIG) target/release/jaspershunt
+
+lab: build
+	$(CARGO) build --release --locked --package jaspershunt-lab
+
+demo: lab
+	$(LAB) demo
+
+measure: measure-dependencies
+
+measure-dependencies: lab
+	$(LAB) measure dependencies $(if $(OUT),--out $(OUT))
--- a/crates/dependencies/src/calls.rs
+++ b/crates/dependencies/src/calls.rs
@@ -359,8 +359,11 @@
         if !below.breaker.lets_through(now) {
             return Err(Refusal::Shut);
         }
-        if !below.may_park(&self.room, bytes, kb) || (attempts > 0 && !self.retries.allow()) {
-            return Err(Refusal::NoRoom);
+        if !below.may_park(&self.room, bytes, kb) {
+            return Err(Refusal::NoPlace);
+        }
+        if attempts > 0 && !self.retries.allow() {
+            return Err(Refusal::NotAgain);
         }
         let now_or_never = guest || attempts > 0;
         let ahead = !below.waiting.is_empty();
--- a/crates/dependencies/src/tests.rs
+++ b/crates/dependencies/src/tests.rs
@@ -795,3 +795,23 @@
         }
     }
 }
+
+/// A part that is too small for a burst fails calls to a dependency that is well; whoever set it must be able to see it.
+#[test]
+fn calls_that_find_no_place_are_counted_apart_and_told_seldom() {
+    let mut rig = Rig::new(&file(&[("waiting = 3", "waiting = 100"), ("fall_back = \"b\"", "")]));
+    for _ in 0..20 {
+        rig.want(SIGN, 1, b"x");
+    }
+    // Eight of twenty places, and four in hand.
+    let a = rig.state("a");
+    assert_eq!((a.in_hand, a.waiting, a.parked), (4, 4, 8));
+    assert_eq!((a.counts.no_place, a.counts.no_room, rig.notes), (12, 0, 1));
+    rig.until(100);
+    assert_eq!((rig.state("a").counts.no_room, rig.notes), (4, 1));
+    rig.until(10_000);
+    for _ in 0..10 {
+        rig.want(SIGN, 1, b"x");
+    }
+    assert_eq!(rig.notes, 2);
+}
