Learn nothing of a dependency from calls that their requests gave too little time

A call given up because its request had less time than the dependency may take already left the breaker alone, and cut the learned limit all the same: a few impatient callers would have cut a healthy dependency to its least. Found in reading; the test shows a limit of 4 falling without the change. Also: calls from elsewhere never pass a line, an attempt whose request has gone is given back rather than lost, and 'once more here' is counted for each dependency anew.

--- a/crates/dependencies/src/calls.rs
+++ b/crates/dependencies/src/calls.rs
@@ -207,20 +207,24 @@
             Outcome::GivenUp => counts.given_up += 1,
             _ => counts.failed += 1,
         }
+        let went = match outcome {
+            Outcome::Done if slow => Some(Went::Slowly),
+            Outcome::Done => Some(Went::Well),
+            // No run waits for the call: that says nothing of the dependency.
+            Outcome::NotStarted | Outcome::Stopped => None,
+            // The request had less time than the dependency may take.
+            Outcome::GivenUp if !slow && given < below.config.timeout.0 => None,
+            _ => Some(Went::Badly),
+        };
+        match went {
+            Some(went) => below.breaker.ended(now, period, went),
+            None => below.breaker.withdrawn(period),
+        }
         match outcome {
             Outcome::Done => below.learned.came_back(took, in_hand),
-            Outcome::TurnedAway | Outcome::GivenUp => below.learned.dropped(),
+            Outcome::TurnedAway | Outcome::GivenUp if went.is_some() => below.learned.dropped(),
             _ => {}
         }
-        match outcome {
-            Outcome::Done if slow => below.breaker.ended(now, period, Went::Slowly),
-            Outcome::Done => below.breaker.ended(now, period, Went::Well),
-            // No run waits for the call: that says nothing of the dependency.
-            Outcome::NotStarted | Outcome::Stopped => below.breaker.withdrawn(period),
-            // The request had less time than the dependency may take.
-            Outcome::GivenUp if !slow && given < below.config.timeout.0 => below.breaker.withdrawn(period),
-            _ => below.breaker.ended(now, period, Went::Badly),
-        }
         if outcome == Outcome::Unreachable {
             below.next_address();
         }
@@ -367,7 +371,7 @@
         }
         let now_or_never = guest || attempts > 0;
         let ahead = !below.waiting.is_empty();
-        if below.has_room(guest) && (now_or_never || !ahead) {
+        if below.has_room(guest) && !ahead {
             below.park(bytes, kb);
             self.begin(now, id, at, guest, out);
             return Ok(());
@@ -380,7 +384,7 @@
         let stops = until.min(now + below.config.wait.0);
         below.waiting.push_back((stops, id));
         if let Some(call) = self.calls.get_mut(&id) {
-            (call.at, call.place, call.again) = (at, Place::Waits, false);
+            (call.at, call.place) = (at, Place::Waits);
         }
         Ok(())
     }
@@ -399,7 +403,6 @@
             _ => self.retries.further(),
         }
         call.attempts += 1;
-        call.again = call.again && call.at == at;
         call.at = at;
         let in_hand = below.in_hand();
         call.place = Place::Tried { attempt, period, began: now, given, guest, in_hand };
@@ -439,7 +442,7 @@
             let next = self.all[call.at].config.fall_back.clone().filter(|_| may);
             let Some(at) = next.and_then(|name| self.place_of(&name)) else { break };
             if let Some(call) = self.calls.get_mut(&id) {
-                call.at = at;
+                (call.at, call.again) = (at, false);
             }
             match self.go_to(now, id, at, out) {
                 Ok(()) => return,
--- a/crates/dependencies/src/tests.rs
+++ b/crates/dependencies/src/tests.rs
@@ -815,3 +815,29 @@
     }
     assert_eq!(rig.notes, 2);
 }
+
+/// A request that came with little time says nothing of the dependency when its call is given up: neither the breaker
+/// nor the limit may learn from it, or a few impatient callers would cut a healthy dependency off.
+#[test]
+fn calls_given_up_for_want_of_the_requests_own_time_teach_nothing() {
+    let mut rig = Rig::new(&file(&[("learned = false", "start = 4")]));
+    for n in 1..=20 {
+        rig.calls += 1;
+        let call = CallId(rig.calls);
+        let wanted = Wanted { call, class: SIGN, place: 1, left: ms(20), body: b"x"[..].into(), kb: 10.0 };
+        let mut out = Vec::new();
+        rig.below.wanted(rig.now, wanted, &mut out);
+        rig.take(out);
+        rig.until(n * 300);
+        rig.end(call, Outcome::GivenUp, 20);
+    }
+    assert_eq!((rig.state("a").breaker, rig.state("a").limit), (State::Closed, 4));
+    for n in 21..=40 {
+        let call = rig.want(SIGN, 1, b"x");
+        rig.until(n * 300);
+        if !rig.ends.contains_key(&call) {
+            rig.end(call, Outcome::GivenUp, 500);
+        }
+    }
+    assert!(rig.state("a").limit < 4);
+}
--- a/crates/node/src/engine/below.rs
+++ b/crates/node/src/engine/below.rs
@@ -181,8 +181,9 @@
         let several = self.several.as_mut()?;
         match action {
             Action::Attempt { call, attempt, dependency, address, connections, give_up_after, once } => {
-                let id = *several.calls.get(&call)?;
-                let entry = self.requests.get(&id)?;
+                let id = several.calls.get(&call).copied();
+                let entry = id.and_then(|id| Some((id, self.requests.get(&id)?)));
+                let Some((id, entry)) = entry else { return Some(attempt) };
                 let Place::AtCall { content, .. } = &entry.place else { return Some(attempt) };
                 let (give_up, given_up) = oneshot::channel();
                 several.attempts.insert(attempt, give_up);
