--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -76,12 +76,14 @@
     });
     let name = config.name.clone();
     spawn_local(async move { directory::report(peers, &name, mode_out).await });
+    // The system's choice where the port was 0.
+    let listens = listener.local_addr().unwrap_or(config.listen);
     let front = Rc::new(Front::new(&config, engine_in.clone(), idle_out));
     let (close, closed) = oneshot::channel::<()>();
     let accepting = spawn_local(accept(listener, front.clone(), async {
         let _ = closed.await;
     }));
-    log!("{} listens on {}", config.name, config.listen);
+    log!("{} listens on {listens}", config.name);
 
     leave.await;
     let told = Instant::now();
