--- a/src/api.rs
+++ b/src/api.rs
@@ -2,21 +2,22 @@
 //!
 //! There is no decision here and no tuned value: those are all in `src/logic.rs`.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// A span of time, or the reading of the clock that drives the module, in seconds.
 pub type Seconds = f64;
 
 /// One try of a request at this server. Ids are never used twice in the life of a [`crate::Controller`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
 /// One of the callers that send requests here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallerId(pub u64);
 
 /// Whether a request may run again.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may run any number of times.
     Safe,
@@ -27,7 +28,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Its name, for messages.
     pub name: String,
@@ -50,7 +51,7 @@
 }
 
 /// A tenant and what it is entitled to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Its name, for messages.
     pub name: String,
@@ -61,7 +62,7 @@
 }
 
 /// What the worth of a class is counted for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorthBy {
     /// Each request.
     Request,
@@ -70,7 +71,7 @@
 }
 
 /// What callers can be told with every answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Say {
     /// Nothing.
     Nothing,
@@ -83,7 +84,7 @@
 }
 
 /// What becomes of running work that is stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Halt {
     /// It cannot be stopped.
     Never,
@@ -94,7 +95,7 @@
 }
 
 /// What lies below this server.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Below {
     /// Nothing.
     Nothing,
@@ -115,7 +116,7 @@
 }
 
 /// What a server is told when it starts.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// The classes of requests; [`Request::class`] counts in this list.
     pub classes: Vec<Class>,
@@ -253,7 +254,7 @@
 }
 
 /// A request that has been read and waits in the hold.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// The id of this try.
     pub id: RequestId,
@@ -280,7 +281,7 @@
 }
 
 /// How a run or a call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Well.
     Done,
@@ -308,7 +309,7 @@
 }
 
 /// Readings of the server's own instruments. Each may be missing.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Gauges {
     /// The share of the cores that was busy in the recent past.
     pub core_use: Option<f64>,
@@ -321,7 +322,7 @@
 }
 
 /// What the module is told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// A request was read and waits in the hold.
     Arrived(Request),
@@ -366,7 +367,7 @@
 }
 
 /// What the module asks for. A request for which nothing is asked stays where it is.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Start a held request, or take up a paused one.
     Run(RequestId),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,7 +52,9 @@
 
 mod api;
 mod logic;
+mod snapshot;
 mod state;
 
 pub use api::*;
 pub use logic::Controller;
+pub use snapshot::SnapshotError;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,6 +8,7 @@
 
 use crate::api::*;
 use crate::state::{Ledger, Live, Stage, micros};
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 /// s; T_m, over which finished requests are counted. The design page's, after the paper's 100 ms.
@@ -79,6 +80,7 @@
 const LEAVE_AHEAD: f64 = 0.06;
 
 /// A part of the hold: the requests of a class, at full or at late worth.
+#[derive(Serialize, Deserialize)]
 struct Lane {
     class: usize,
     tenant: Option<usize>,
@@ -86,20 +88,21 @@
 }
 
 /// What was learned of a class: means of the time on a core, of that parked at calls, and of the hints.
-#[derive(Clone, Default)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 struct Learned {
     core: Option<f64>,
     parked: Option<f64>,
     hint: Option<f64>,
 }
 
+#[derive(Serialize, Deserialize)]
 struct Leaving {
     grace_until: f64,
     stop_at: f64,
 }
 
 /// What is counted in the present interval, and what was smoothed from earlier ones.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Meter {
     from: f64,
     next: f64,
@@ -126,7 +129,7 @@
 }
 
 /// What this server loads on what lies below.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 struct Calls {
     /// Call-seconds made beyond the level; below 0, what may still be made at once.
     owed: f64,
@@ -139,6 +142,7 @@
 }
 
 /// One server's decisions. See the crate's front page for how to drive it.
+#[derive(Serialize, Deserialize)]
 pub struct Controller {
     set: Settings,
     now: f64,
@@ -198,6 +202,10 @@
         })
     }
 
+    pub(crate) fn settings(&self) -> &Settings {
+        &self.set
+    }
+
     /// Takes in all that happened up to `now` and appends what is to be done to `out`.
     pub fn step(&mut self, now: Seconds, events: &[Event], out: &mut Vec<Action>) {
         self.begin(now, out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,13 +1,14 @@
 //! What one server remembers, kept consistent: requests by stage, callers, and keys. Nothing is decided here.
 
 use crate::api::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Requests ordered by a time, in microseconds.
 pub(crate) type Queue = BTreeSet<(u64, RequestId)>;
 
 /// Where a request is.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub(crate) enum Stage {
     /// Read and not started.
     Held,
@@ -24,6 +25,7 @@
 }
 
 /// A request that was read and whose end is not yet known.
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Live {
     pub request: Request,
     pub arrived: f64,
@@ -69,7 +71,7 @@
 }
 
 /// Callers: when each was last seen, and how many requests each has here.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Callers {
     by_id: BTreeMap<CallerId, (u64, u32)>,
     seen: BTreeSet<(u64, CallerId)>,
@@ -132,7 +134,7 @@
 }
 
 /// The table of keys: until when each entry lives, and whether a try of it ran.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Keys {
     entries: BTreeMap<RequestId, (u64, bool)>,
     ends: Queue,
@@ -177,7 +179,7 @@
 }
 
 /// Requests, and all that is counted over them.
-#[derive(Default)]
+#[derive(Default, Serialize, Deserialize)]
 pub(crate) struct Ledger {
     pub live: BTreeMap<RequestId, Live>,
     /// The hold, in lanes; by the time at which each request stops earning.
