Hold captures against the four rules, apart from the code that decided

A replay shows that the decisions are the same, not that they were right. The checker knows what arrived, what was asked for and what ended: one answer by the due time, no effect twice, nothing turned away after it ran, nothing run after the grace.

--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -6,6 +6,8 @@
 //! decision state each so often, so that a replay can begin at any of them; [`reader`] reads past what is torn or spoilt;
 //! [`replay`] runs the present decision code against what was told and stops at the first decision that differs.
 //!
+//! [`rules`] holds a capture against the four rules, apart from the code that decided.
+//!
 //! Nothing here reads a clock or a file: bytes go in and come out.
 
 pub mod format;
@@ -13,6 +15,7 @@
 pub mod record;
 pub mod recorder;
 pub mod replay;
+pub mod rules;
 
 #[cfg(test)]
 mod tests;
--- a/crates/capture/src/tests.rs
+++ b/crates/capture/src/tests.rs
@@ -5,6 +5,7 @@
 use crate::record::{Head, Record, Round};
 use crate::recorder::{Limits, Recorder, Wants};
 use crate::replay::{Replayed, replay};
+use crate::rules::{Rule, check};
 use jaspershunt::*;
 use std::collections::BTreeMap;
 
@@ -344,3 +345,56 @@
     head[45..49].copy_from_slice(&checksum.to_le_bytes());
     assert!(matches!(format::read_block(&head), Err(Unreadable::Payload(_))));
 }
+
+/// Changes the first action for which `change` returns others.
+fn change(parts: &mut [Part], change: impl Fn(&Round, &Action) -> Option<Vec<Action>>) {
+    for part in parts {
+        let Part::Block { records, .. } = part else { continue };
+        for record in records {
+            let Record::Round(round) = record else { continue };
+            let found =
+                round.actions.iter().enumerate().find_map(|(at, action)| Some((at, change(round, action)?)));
+            if let Some((at, others)) = found {
+                round.actions.splice(at..=at, others);
+                return;
+            }
+        }
+    }
+    panic!("nothing to change");
+}
+
+#[test]
+fn an_overload_keeps_the_rules_and_each_that_is_broken_is_found() {
+    for seed in 1..=5 {
+        assert_eq!(check(&read(&capture(seed, 600, SMALL, 0..0))), [], "{seed}");
+    }
+    let good = read(&capture(1, 600, SMALL, 0..0));
+    let mut twice = good.clone();
+    change(&mut twice, |_, action| match action {
+        Action::Refuse { .. } => Some(vec![action.clone(), action.clone()]),
+        _ => None,
+    });
+    assert_eq!(check(&twice).iter().map(|broken| broken.rule).collect::<Vec<_>>(), [Rule::AnsweredTwice]);
+    let mut lost = good.clone();
+    change(&mut lost, |_, action| matches!(action, Action::Refuse { .. }).then(Vec::new));
+    assert_eq!(check(&lost).iter().map(|broken| broken.rule).collect::<Vec<_>>(), [Rule::Lost]);
+    // A request that ran is run once more, and turned away.
+    let keyed = |round: &Round, id: RequestId| {
+        let this = |event: &Event| matches!(event, Event::Arrived(r) if r.id == id && r.class == 1 && r.repeats.is_none());
+        round.events.iter().any(this)
+    };
+    let mut again = good.clone();
+    change(&mut again, |round, action| match action {
+        Action::Run(id) if keyed(round, *id) => Some(vec![action.clone(), action.clone()]),
+        _ => None,
+    });
+    assert_eq!(check(&again)[0].rule, Rule::RanTwice);
+    let mut refused = good.clone();
+    change(&mut refused, |round, action| match action {
+        Action::Run(id) if keyed(round, *id) => {
+            Some(vec![action.clone(), Action::Refuse { id: *id, stay_away: 0.0, last: false }])
+        }
+        _ => None,
+    });
+    assert_eq!(check(&refused)[0].rule, Rule::RefusedAfterRun);
+}
