Let each part of the dependencies' decisions have its tests beside it

The layout wants a file's tests next to it; those of breaker, limit, kept replies and retries stood with the calls.

--- a/crates/dependencies/src/breaker.rs
+++ b/crates/dependencies/src/breaker.rs
@@ -232,3 +232,6 @@
                 || sum(|part| part.bad + part.slow) >= calls * self.config.slow_calls.0)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dependencies/src/kept.rs
+++ b/crates/dependencies/src/kept.rs
@@ -100,3 +100,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dependencies/src/limit.rs
+++ b/crates/dependencies/src/limit.rs
@@ -158,3 +158,6 @@
         (self.samples, self.sum, self.in_hand, self.cut) = (0, 0.0, 0, false);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/dependencies/src/retries.rs
+++ b/crates/dependencies/src/retries.rs
@@ -51,3 +51,6 @@
         self.earned = self.earned.saturating_sub(PARTS);
     }
 }
+
+#[cfg(test)]
+mod tests;
