Shrink a capture to the few requests that still show what is looked for

A capture of a bad minute holds thousands of requests, of which a handful bring about what went wrong. minimise leaves out what it can by halving and delta debugging, playing what is left through the present code, within 2,000 plays. Refusals under three overloads of 300 rounds shrink to less than a fifth of the requests, of which none can be left out.

--- a/crates/capture/src/lib.rs
+++ b/crates/capture/src/lib.rs
@@ -6,11 +6,12 @@
 //! decision state each so often, so that a replay can begin at any of them; [`reader`] reads past what is torn or spoilt;
 //! [`replay`] runs the present decision code against what was told and stops at the first decision that differs.
 //!
-//! [`rules`] holds a capture against the four rules, apart from the code that decided.
+//! [`minimise`] shrinks a capture that still shows something; [`rules`] holds a capture against the four rules, apart from the code that decided.
 //!
 //! Nothing here reads a clock or a file: bytes go in and come out.
 
 pub mod format;
+pub mod minimise;
 pub mod reader;
 pub mod record;
 pub mod recorder;
--- /dev/null
+++ b/crates/capture/src/minimise.rs
@@ -0,0 +1,152 @@
+//! Shrinks a capture that still shows something: the fewest requests and rounds that a search in steps finds (delta
+//! debugging, Zeller and Hildebrandt 2002). What is left is played through the present decision code, so that its actions
+//! belong to it.
+
+use crate::record::Round;
+use jaspershunt::{Action, Controller, Event, RequestId};
+use std::collections::BTreeSet;
+
+/// Plays at most, so that a search ends on any capture. Ours: some seconds.
+pub const MAX_PLAYS: usize = 2_000;
+
+/// The request that an event is about.
+fn request_of(event: &Event) -> Option<RequestId> {
+    match event {
+        Event::Arrived(request) => Some(request.id),
+        Event::Ended { id, .. }
+        | Event::CallWanted { id }
+        | Event::CallEnded { id, .. }
+        | Event::Withdrawn { id } => Some(*id),
+        Event::Leave { .. } | Event::Woke { .. } => None,
+    }
+}
+
+/// Plays the events of rounds from a state; each round then has what the present code asks for.
+fn play(state: &[u8], rounds: &[Round], without: &BTreeSet<RequestId>) -> Option<Vec<Round>> {
+    let mut module = Controller::load(state).ok()?;
+    let mut played = Vec::with_capacity(rounds.len());
+    for round in rounds {
+        let keep = |event: &&Event| request_of(event).is_none_or(|id| !without.contains(&id));
+        let events: Vec<Event> = round.events.iter().filter(keep).cloned().collect();
+        let mut actions: Vec<Action> = Vec::new();
+        module.step(round.now, &events, &mut actions);
+        let names = round.names.iter().filter(|(id, _)| !without.contains(id)).cloned().collect();
+        played.push(Round { number: round.number, now: round.now, names, events, actions });
+    }
+    Some(played)
+}
+
+/// The smallest part of the rounds from a state that still shows what `shows` looks for; `None` if the whole does not.
+/// Rounds in which nothing is told are dropped at the end, where what is looked for outlives that.
+pub fn minimise(state: &[u8], rounds: &[Round], shows: impl Fn(&[Round]) -> bool) -> Option<Vec<Round>> {
+    let mut left = play(state, rounds, &BTreeSet::new()).filter(|whole| shows(whole))?;
+    let mut plays = 0;
+    // What comes after it is of no use: the shortest beginning that shows it, by halving.
+    let (mut short, mut long) = (0, left.len());
+    while short + 1 < long {
+        let middle = (short + long) / 2;
+        if shows(&left[..middle]) { long = middle } else { short = middle }
+    }
+    if shows(&left[..long]) {
+        left.truncate(long);
+    }
+    // Then requests are left out, many at a time and ever fewer.
+    let ids: BTreeSet<RequestId> =
+        left.iter().flat_map(|round| &round.events).filter_map(request_of).collect();
+    let mut ids: Vec<RequestId> = ids.into_iter().collect();
+    let mut part = ids.len().div_ceil(2);
+    while part > 0 && !ids.is_empty() && plays < MAX_PLAYS {
+        let mut at = 0;
+        let mut found = false;
+        while at < ids.len() && plays < MAX_PLAYS {
+            let end = (at + part).min(ids.len());
+            let without: BTreeSet<RequestId> = ids[at..end].iter().copied().collect();
+            plays += 1;
+            match play(state, &left, &without).filter(|fewer| shows(fewer)) {
+                Some(fewer) => {
+                    left = fewer;
+                    ids.drain(at..end);
+                    found = true;
+                }
+                None => at = end,
+            }
+        }
+        if part == 1 && !found {
+            break;
+        }
+        part = if part > 1 { part.div_ceil(2) } else { 1 };
+    }
+    let told: Vec<Round> = left.iter().filter(|round| !round.events.is_empty()).cloned().collect();
+    match play(state, &told, &BTreeSet::new()).filter(|told| shows(told)) {
+        Some(told) => Some(told),
+        None => Some(left),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::reader::Part;
+    use crate::record::Record;
+    use crate::tests::{SMALL, capture, read};
+
+    /// The first state of a capture and the rounds after it.
+    fn whole(seed: u64) -> (Vec<u8>, Vec<Round>) {
+        let (mut state, mut rounds) = (Vec::new(), Vec::new());
+        for part in read(&capture(seed, 300, SMALL, 0..0)) {
+            let Part::Block { records, .. } = part else { panic!("spoilt") };
+            for record in records {
+                match record {
+                    Record::Snapshot(bytes) if state.is_empty() => state = bytes,
+                    Record::Round(round) => rounds.push(round),
+                    _ => {}
+                }
+            }
+        }
+        (state, rounds)
+    }
+
+    fn requests(rounds: &[Round]) -> usize {
+        rounds
+            .iter()
+            .flat_map(|round| &round.events)
+            .filter(|event| matches!(event, Event::Arrived(_)))
+            .count()
+    }
+
+    #[test]
+    fn a_refusal_under_overload_is_shrunk_to_the_few_requests_that_bring_it_about() {
+        let shows = |rounds: &[Round]| {
+            rounds
+                .iter()
+                .flat_map(|round| &round.actions)
+                .any(|action| matches!(action, Action::Refuse { .. }))
+        };
+        for seed in 1..=3 {
+            let (state, rounds) = whole(seed);
+            let small = minimise(&state, &rounds, shows).unwrap();
+            assert!(shows(&small));
+            assert!(
+                requests(&small) * 5 < requests(&rounds),
+                "{} of {}",
+                requests(&small),
+                requests(&rounds)
+            );
+            // Nothing more can be left out one at a time.
+            let ids: BTreeSet<RequestId> =
+                small.iter().flat_map(|round| &round.events).filter_map(request_of).collect();
+            for id in ids {
+                assert!(!shows(&play(&state, &small, &BTreeSet::from([id])).unwrap()), "{id:?} is of no use");
+            }
+        }
+    }
+
+    #[test]
+    fn what_does_not_show_is_not_shrunk_and_a_state_that_cannot_be_loaded_is_none() {
+        let (state, rounds) = whole(1);
+        assert_eq!(minimise(&state, &rounds, |_| false), None);
+        assert_eq!(minimise(b"?", &rounds, |_| true), None);
+        // What shows without any request needs none, and one round.
+        assert_eq!(minimise(&state, &rounds, |_| true).map(|rounds| requests(&rounds)), Some(0));
+    }
+}
--- a/crates/capture/src/tests.rs
+++ b/crates/capture/src/tests.rs
@@ -145,7 +145,7 @@
 }
 
 /// A capture of such a server. Rounds in `missing` are not kept.
-fn capture(seed: u64, rounds: u64, limits: Limits, missing: std::ops::Range<u64>) -> Vec<u8> {
+pub(crate) fn capture(seed: u64, rounds: u64, limits: Limits, missing: std::ops::Range<u64>) -> Vec<u8> {
     let head = Head { version: "1".into(), nodo: "n1".into(), epoch: 0.0, settings: settings() };
     let mut recorder = Recorder::new(head, limits);
     let mut bytes = format::file_head().to_vec();
@@ -169,9 +169,9 @@
     bytes
 }
 
-const SMALL: Limits = Limits { block_bytes: 4_000, snapshot_every: 0.5 };
+pub(crate) const SMALL: Limits = Limits { block_bytes: 4_000, snapshot_every: 0.5 };
 
-fn read(bytes: &[u8]) -> Vec<Part> {
+pub(crate) fn read(bytes: &[u8]) -> Vec<Part> {
     parts(bytes).unwrap().collect()
 }
 
