--- a/crates/lab/src/dependencies.rs
+++ b/crates/lab/src/dependencies.rs
@@ -112,7 +112,7 @@
     others: (f64, f64),
     /// Of all: in the calm part, and in the third second after healing.
     all: (f64, f64),
-    /// Calls beyond the first for the same run and place, and first ones, from the beginning until it heals.
+    /// Calls beyond the first for the same run and place, and first ones, while it is broken.
     beyond: (usize, usize),
     /// Moments at which a dependency had more in hand than its budget.
     over_budget: usize,
@@ -179,19 +179,24 @@
     record.calls.iter().filter(|call| call.in_hand > CALLS).count()
 }
 
-/// Calls beyond the first for the same run and place, and first ones, that came before it heals.
+/// Calls beyond the first for the same run and place, and first ones, that came while one was broken.
 fn beyond(dependencies: &[Dependency], offsets: &[f64]) -> (usize, usize) {
-    let mut known = BTreeSet::new();
-    let mut calls = 0;
+    let mut calls = Vec::new();
     for (dependency, offset) in dependencies.iter().zip(offsets) {
         for call in &dependency.record().calls {
-            if call.came.as_secs_f64() - offset < HEALS {
-                calls += 1;
-                known.insert((call.uid.clone(), call.body.clone()));
-            }
+            calls.push((call.came.as_secs_f64() - offset, call.uid.clone(), call.body.clone()));
+        }
+    }
+    calls.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut known = BTreeSet::new();
+    let (mut beyond, mut first) = (0, 0);
+    for (came, uid, body) in calls {
+        let new = known.insert((uid, body));
+        if (BREAKS..HEALS).contains(&came) {
+            if new { first += 1 } else { beyond += 1 }
         }
     }
-    (calls - known.len(), known.len())
+    (beyond, first)
 }
 
 /// Calls a second that a dependency of hidden capacity did well, and that came back in time.
