Answer operators on a second address: calls, figures and drain

Lines are read by a pure parser; the engine counts where a request ends or begins, in a value that callers read in place (not taken: publishing every so often, which is old by that much); orders have a queue of their own that the engine looks at first (not taken: the module's notice to leave, which ends in a time after which nothing runs). Callers that send nothing or half a call have 16 descriptors set aside; the first to come makes room.

--- /dev/null
+++ b/crates/node/src/admin/line/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+use proptest::prelude::*;
+
+const KNOWN: [(&str, Call); 4] =
+    [("PING", Call::Ping), ("INFO", Call::Info), ("LAMEDUCK", Call::Lameduck), ("REJOIN", Call::Rejoin)];
+
+#[test]
+fn a_call_is_read_once_its_line_is_whole_and_not_before() {
+    for (word, call) in KNOWN {
+        for end in ["\n", "\r\n", " \r\n", "\nPING\n"] {
+            let text = format!("{word}{end}");
+            let whole = text.find('\n').unwrap();
+            for cut in 0..=text.len() {
+                let expected = if cut > whole { Ok(Some(call)) } else { Ok(None) };
+                assert_eq!(read(&text.as_bytes()[..cut]), expected, "{text:?} cut at {cut}");
+            }
+        }
+    }
+}
+
+#[test]
+fn other_lines_are_no_calls() {
+    for line in ["\n", "PIN\n", "PINGS\n", "PING INFO\n", " PING\n", "\0PING\n", "GET / HTTP/1.1\r\n"] {
+        assert_eq!(read(line.as_bytes()), Err(NoCall::Unknown), "{line:?}");
+    }
+    assert_eq!(read(&[b'P'; MAX_LINE]), Err(NoCall::TooLong));
+    assert_eq!(read(&[b'P'; MAX_LINE - 1]), Ok(None));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn garbage_is_no_call_and_waits_for_its_end_only_within_the_bound(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        match read(&bytes) {
+            Ok(None) => prop_assert!(bytes.len() < MAX_LINE && !bytes.contains(&b'\n')),
+            Ok(Some(call)) => {
+                let line = String::from_utf8(bytes[..bytes.iter().position(|b| *b == b'\n').unwrap()].to_vec()).unwrap();
+                prop_assert!(KNOWN.iter().any(|(word, known)| *known == call && line.trim_end().eq_ignore_ascii_case(word)));
+            }
+            Err(NoCall::TooLong) => prop_assert!(!bytes[..MAX_LINE].contains(&b'\n')),
+            Err(why) => prop_assert_eq!(why, NoCall::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/admin/mod.rs
@@ -0,0 +1,187 @@
+//! Where operators call: the second listener. A connection carries one line and gets one answer.
+//!
+//! Answers do not wait behind requests. The figures are those that the engine keeps, read where they stand, and what
+//! changes something has a way of its own into the engine, which takes it before all else. [`line`] reads and writes
+//! the lines.
+
+pub mod line;
+
+use crate::counts::Counts;
+use crate::log;
+use line::{Answer, Call, MAX_LINE, NoCall};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Descriptors set aside for callers; one more is the listener.
+pub const CALLERS: usize = 16;
+/// A caller has so long for its line. Those that send nothing and stay keep a place for no longer.
+const LINE_WITHIN: Duration = Duration::from_secs(2);
+/// The engine has so long to take a command. It is told within one round; the answer is due within 1 s.
+const TAKEN_WITHIN: Duration = Duration::from_millis(800);
+/// A caller has so long to read its answer, and to close then.
+const READ_WITHIN: Duration = Duration::from_millis(500);
+/// Bytes that are read behind the line, so that the close does not take the answer with it.
+const MAX_BEHIND: usize = 16 * 1024;
+/// Commands that wait for the engine.
+pub const QUEUE: usize = 16;
+
+/// What operators may have the engine do.
+#[derive(Debug)]
+pub enum Order {
+    /// Send clients away, or take them again.
+    Lameduck {
+        /// Whether they are sent away.
+        on: bool,
+        /// Told once it is so.
+        done: oneshot::Sender<()>,
+    },
+}
+
+/// What operators are shown.
+#[derive(Debug, Default)]
+pub struct Desk {
+    /// The figures.
+    pub counts: RefCell<Counts>,
+    /// The interpreter was heard of: requests can run.
+    pub up: Cell<bool>,
+    /// Balancers' connections are accepted.
+    pub listens: Cell<bool>,
+    /// The nodo was told to leave.
+    pub leaves: Cell<bool>,
+}
+
+impl Desk {
+    /// Why this process takes no clients, if so.
+    fn closed(&self) -> Option<&'static str> {
+        if self.leaves.get() {
+            Some("leaving")
+        } else if !self.listens.get() {
+            Some("not listening yet")
+        } else if !self.up.get() {
+            Some("the interpreter is not up yet")
+        } else {
+            None
+        }
+    }
+}
+
+/// The callers that are here, by the order in which they came; each can be told to go.
+#[derive(Default)]
+struct Callers {
+    here: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    ended: Notify,
+}
+
+/// Answers operators until nobody can call any more.
+pub async fn serve(listener: TcpListener, desk: Rc<Desk>, orders: mpsc::Sender<Order>) {
+    let callers = Rc::new(Callers::default());
+    for number in 0u64.. {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log!(WARN, "admin: cannot accept a call: {e}");
+                sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        // Guards against callers that send nothing and stay: the one that is here for longest makes room.
+        while callers.here.borrow().len() >= CALLERS {
+            let ended = callers.ended.notified();
+            if let Some(oldest) = callers.here.borrow().values().next() {
+                oldest.notify_one();
+            }
+            ended.await;
+        }
+        let go = Rc::new(Notify::new());
+        callers.here.borrow_mut().insert(number, go.clone());
+        let (callers, desk, orders) = (callers.clone(), desk.clone(), orders.clone());
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                () = attend(stream, &desk, &orders) => {}
+                () = go.notified() => {}
+            }
+            callers.here.borrow_mut().remove(&number);
+            callers.ended.notify_waiters();
+        });
+    }
+}
+
+/// One caller, from its line to its close.
+async fn attend(mut stream: TcpStream, desk: &Desk, orders: &mpsc::Sender<Order>) {
+    let mut input = Vec::with_capacity(MAX_LINE);
+    let call = match timeout(LINE_WITHIN, first_line(&mut stream, &mut input)).await {
+        Ok(Some(call)) => call,
+        // It left without a call.
+        Ok(None) => return,
+        Err(_) => Err(NoCall::Unfinished),
+    };
+    let answer = match call {
+        Ok(call) => carry_out(call, desk, orders).await,
+        Err(why) => Answer::No(why.to_string()),
+    };
+    let written = async {
+        stream.write_all(answer.text().as_bytes()).await?;
+        stream.shutdown().await
+    };
+    if !matches!(timeout(READ_WITHIN, written).await, Ok(Ok(()))) {
+        return;
+    }
+    let until = Instant::now() + READ_WITHIN;
+    let mut left = MAX_BEHIND;
+    let mut scratch = [0; 1024];
+    while let Ok(Ok(n @ 1..)) = timeout_at(until, stream.read(&mut scratch)).await {
+        left = left.saturating_sub(n);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
+/// The call of a connection; `None` if it ends with nothing sent. The end of what is sent ends a line too.
+async fn first_line(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<Result<Call, NoCall>> {
+    loop {
+        match line::read(input) {
+            Ok(Some(call)) => return Some(Ok(call)),
+            Err(why) => return Some(Err(why)),
+            Ok(None) => {}
+        }
+        let mut chunk = [0; MAX_LINE];
+        match stream.read(&mut chunk).await {
+            Ok(n @ 1..) => input.extend(&chunk[..n]),
+            _ if input.is_empty() => return None,
+            _ => input.push(b'\n'),
+        }
+    }
+}
+
+async fn carry_out(call: Call, desk: &Desk, orders: &mpsc::Sender<Order>) -> Answer {
+    match call {
+        Call::Ping => match desk.closed() {
+            None => Answer::Yes("taking clients"),
+            Some(why) => Answer::No(why.to_string()),
+        },
+        // No number that is not finite is among the figures, so that they can be written.
+        Call::Info => Answer::Figures(serde_json::to_string(&*desk.counts.borrow()).unwrap_or_default()),
+        Call::Lameduck => order(orders, true, "clients are sent away").await,
+        Call::Rejoin => order(orders, false, "taking clients again").await,
+    }
+}
+
+async fn order(orders: &mpsc::Sender<Order>, on: bool, remark: &'static str) -> Answer {
+    let (done, taken) = oneshot::channel();
+    let told = async {
+        orders.send(Order::Lameduck { on, done }).await.ok()?;
+        taken.await.ok()
+    };
+    match timeout(TAKEN_WITHIN, told).await {
+        Ok(Some(())) => Answer::Yes(remark),
+        Ok(None) => Answer::No("the nodo has ended its work".to_string()),
+        Err(_) => Answer::No("not taken in time; say it again".to_string()),
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults. Every message names the key at fault.
 
+use crate::admin::CALLERS;
 use jaspershunt::{Repeat, Settings};
 use jaspershunt_operator::check::{Class, against_settings};
 use jaspershunt_operator::{File, Repeat as OperatorRepeat};
@@ -39,6 +40,8 @@
     pub name: String,
     /// Where balancers connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub admin: Option<SocketAddr>,
     /// Where the others are.
     pub peers: Peers,
     /// From the notice to leave to the kill.
@@ -137,6 +140,13 @@
         return wrong(&name_key, "must hold letters, digits, '-', '.', '_' or '~' only");
     }
     let (listen_key, listen) = told("NODE_LISTEN", "listen")?;
+    let admin = match (variable("NODE_ADMIN").filter(|value| !value.is_empty()), object.get("admin")) {
+        (Some(value), _) => Some(address("NODE_ADMIN", &value)?),
+        (None, None | Some(JsonValue::Null)) => None,
+        (None, Some(_)) => Some(address("admin", &text_of(object, "admin")?)?),
+    };
+    // Descriptors for operators come off those for balancers.
+    let admin_sockets = if admin.is_some() { CALLERS + 1 } else { 0 };
     let stop_ms = number(object, "", "stop_ms", STOP_MS, 0.0)?;
     let memory = number(&limits, "limits.", "memory_mb", MEMORY_MB, MIN_MEMORY_MB)? * 1024.0 * 1024.0;
     let memory = memory as usize;
@@ -149,6 +159,7 @@
     Ok(Config {
         name,
         listen: address(&listen_key, &listen)?,
+        admin,
         peers: Peers {
             interpreter: address("vm", &text_of(object, "vm")?)?,
             directory: address("lookup", &text_of(object, "lookup")?)?,
@@ -158,7 +169,7 @@
         settings,
         names,
         bounds: Bounds {
-            connections: sockets - OTHER_SOCKETS,
+            connections: sockets - OTHER_SOCKETS - admin_sockets,
             calls: CALL_SOCKETS,
             kept: memory / KEPT_PART,
             requests: memory / REQUESTS_PART,
@@ -224,6 +235,7 @@
         let keys = [
             ("name", self.name == new.name),
             ("listen", self.listen == new.listen),
+            ("admin", self.admin == new.admin),
             ("stop_ms", self.stop == new.stop),
             ("limits", self.bounds == new.bounds),
             ("settings", self.settings == new.settings && self.names == new.names),
--- /dev/null
+++ b/crates/node/src/counts/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+
+#[test]
+fn what_was_taken_is_what_ended_and_what_is_open() {
+    let mut counts = Counts::new(["read", "sign"]);
+    for _ in 0..5 {
+        counts.taken("read");
+    }
+    counts.taken("sign");
+    counts.sent("read");
+    for how in [Ended::Answered, Ended::Deferred, Ended::Errored, Ended::Left] {
+        counts.ended("read", how);
+        assert!(counts.agree());
+    }
+    let read = counts.of("read");
+    assert_eq!((read.answered, read.deferred, read.errored, read.left, read.open()), (1, 1, 2, 1, 1));
+    assert_eq!((counts.current(), counts.of("sign").open()), (2, 1));
+}
+
+#[test]
+fn names_are_bounded_and_totals_hold_beyond_the_bound() {
+    let names: Vec<String> = (0..2 * MAX_CLASSES).map(|n| n.to_string()).collect();
+    let mut counts = Counts::new(names.iter().map(String::as_str));
+    names.iter().for_each(|name| counts.taken(name));
+    assert_eq!(counts.transactions.len(), MAX_CLASSES + 1);
+    assert_eq!((counts.current(), counts.agree()), (2 * MAX_CLASSES as u64, true));
+}
+
+#[test]
+fn figures_carry_the_names_that_operators_know() {
+    let mut counts = Counts::new(["read"]);
+    counts.taken("read");
+    counts.ended("read", Ended::Deferred);
+    counts.configuration(true);
+    counts.configuration(false);
+    counts.configuration(false);
+    let row = r#"{"taken":1,"answered":0,"deferred":1,"errored":0,"left":0,"sends":0}"#;
+    let rest = r#""current":0,"sends":0,"conf_loaded":1,"conf_invalid":2"#;
+    assert_eq!(
+        serde_json::to_string(&counts).unwrap(),
+        format!(r#"{{"transactions":{{"read":{row}}},{rest}}}"#)
+    );
+}
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -4,8 +4,10 @@
 //! out what the module asks for in order. It knows no protocol and never waits on a socket: what it wants done
 //! elsewhere it hands to the tasks of the interpreter, the database, the directory and the connections.
 
+use crate::admin::{Desk, Order};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::counts::Ended;
 use crate::database;
 use crate::directory::Mode;
 use crate::interpreter::{self, Command};
@@ -74,6 +76,8 @@
     pub idle: watch::Sender<Idle>,
     /// How many requests are owed an answer.
     pub owed: watch::Sender<usize>,
+    /// What operators are shown.
+    pub desk: Rc<Desk>,
 }
 
 /// Where the run of a request is.
@@ -151,6 +155,8 @@
     events: Vec<Event>,
     say: Option<f64>,
     good: bool,
+    /// Operators had clients sent away.
+    lameduck: bool,
     link_up: bool,
     calls: u64,
     /// What decides on calls where the operator's file names dependencies.
@@ -168,6 +174,7 @@
     pub fn new(config: &Config, clock: Clock, ways: Ways) -> Engine {
         let mut settings = config.settings.clone();
         let several = Several::new(config, Duration::from_secs_f64(CLOCK_START), &mut settings);
+        ways.desk.counts.borrow_mut().name(settings.classes.iter().map(|class| class.name.as_str()));
         Engine {
             clock,
             epoch: clock.now() - CLOCK_START,
@@ -185,6 +192,7 @@
             events: Vec::new(),
             say: None,
             good: true,
+            lameduck: false,
             link_up: false,
             calls: 0,
             several,
@@ -196,10 +204,49 @@
     }
 
     /// Works until nothing can reach it any more.
-    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>, mut orders: mpsc::Receiver<Order>) {
         let mut batch = Vec::with_capacity(QUEUE);
-        while inputs.recv_many(&mut batch, QUEUE).await > 0 {
-            self.round(batch.drain(..));
+        loop {
+            tokio::select! {
+                // What operators want does not wait behind requests.
+                biased;
+                Some(order) = orders.recv() => self.obey(order),
+                taken = inputs.recv_many(&mut batch, QUEUE) => {
+                    if taken == 0 {
+                        return;
+                    }
+                    self.round(batch.drain(..));
+                }
+            }
+        }
+    }
+
+    /// Does what operators want.
+    pub fn obey(&mut self, order: Order) {
+        match order {
+            Order::Lameduck { on, done } => {
+                if on != self.lameduck {
+                    self.lameduck = on;
+                    log!("{}", if on { "clients are sent away" } else { "clients are taken again" });
+                    self.report();
+                }
+                // An error means that the caller did not wait.
+                let _ = done.send(());
+            }
+        }
+    }
+
+    /// Whether health checks are answered as good. Operators who send clients away go before the module, which knows
+    /// nothing of it: what still comes is served as ever.
+    fn in_health(&self) -> bool {
+        self.good && !self.lameduck
+    }
+
+    /// Has the directory told of the present health, once the module has said that all is well.
+    fn report(&self) {
+        if self.module.is_some() {
+            let mode = if self.in_health() { Mode::Open } else { Mode::Closed };
+            self.ways.directory.send_replace(Some(mode));
         }
     }
 
@@ -229,7 +276,7 @@
         match input {
             Input::Work { id, work, reply } => self.arrive(id, work, reply),
             Input::Check { reply } => {
-                reply.send(Reply::new(Answer::Health { good: self.good }, self.say));
+                reply.send(Reply::new(Answer::Health { good: self.in_health() }, self.say));
             }
             Input::Gone { id } => self.gone(id),
             Input::Heard(message) => self.heard(message),
@@ -275,23 +322,41 @@
     // Requests.
 
     fn arrive(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
-        let say = self.say;
+        let class = work.class;
+        self.ways.desk.counts.borrow_mut().taken(&self.settings.classes[class].name);
+        if let Err((reply, answer)) = self.admit(id, work, reply) {
+            // It never reached the module, and is over.
+            self.count_end(class, Some(&answer));
+            reply.send(Reply::new(answer, self.say));
+        }
+    }
+
+    /// Counts a request that is over, with the answer that it got.
+    fn count_end(&self, class: usize, answer: Option<&Answer>) {
+        let how = match answer {
+            Some(Answer::Served(_)) => Ended::Answered,
+            Some(Answer::Refused { .. }) => Ended::Deferred,
+            Some(_) => Ended::Errored,
+            None => Ended::Left,
+        };
+        self.ways.desk.counts.borrow_mut().ended(&self.settings.classes[class].name, how);
+    }
+
+    /// Takes a request on, or gives back the way to its caller with the answer that it gets at once.
+    fn admit(&mut self, id: RequestId, work: Work, reply: ReplyTo) -> Result<(), (ReplyTo, Answer)> {
         if self.module.is_none() {
             // No request comes before the interpreter is up; one that does finds a nodo that cannot run it.
             let stay_away = self.settings.max_stay_away;
-            reply.send(Reply::new(Answer::Refused { stay_away, last: false }, say));
-            return;
+            return Err((reply, Answer::Refused { stay_away, last: false }));
         }
         if self.by_uid.contains_key(&work.uid) {
-            reply.send(Reply::new(Answer::Bad, say));
-            return;
+            return Err((reply, Answer::Bad));
         }
         // A peer's word is taken only within what a request can have waited: the module learns from these times.
         let arrived = work.arrived.map_or(self.now, |unix| unix - self.epoch);
         let deadline = self.settings.classes[work.class].deadline;
         if arrived > self.now + AHEAD || arrived < self.now - deadline - BEHIND {
-            reply.send(Reply::new(Answer::Bad, say));
-            return;
+            return Err((reply, Answer::Bad));
         }
         let arrived = arrived.max(self.now - deadline).min(self.now);
         let mut repeats = None;
@@ -301,14 +366,12 @@
             match self.keys.arrived(key, print(work.class, &work.body), id, self.now, held) {
                 Ok(earlier) => repeats = earlier,
                 Err(NotTaken::OtherBody) => {
-                    reply.send(Reply::new(Answer::Bad, say));
-                    return;
+                    return Err((reply, Answer::Bad));
                 }
                 // What cannot be remembered cannot be kept from running twice.
                 Err(NotTaken::Full) => {
                     let stay_away = self.settings.max_stay_away;
-                    reply.send(Reply::new(Answer::Refused { stay_away, last: false }, say));
-                    return;
+                    return Err((reply, Answer::Refused { stay_away, last: false }));
                 }
             }
         }
@@ -342,16 +405,23 @@
             stale_since: None,
         };
         self.requests.insert(id, entry);
+        Ok(())
     }
 
     /// The one place from which requests are answered: the way there is used up with the answer.
     fn answer(&mut self, id: RequestId, answer: Answer) {
+        self.answer_or_left(id, answer, false);
+    }
+
+    fn answer_or_left(&mut self, id: RequestId, answer: Answer, left: bool) {
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let Some(reply) = entry.reply.take() else { return };
         let label = match answer {
             Answer::Served(_) if self.several.is_some() => entry.label(self.now),
             _ => None,
         };
+        let class = entry.class;
+        self.count_end(class, (!left).then_some(&answer));
         reply.send(Reply { answer, say: self.say, label });
         self.owed -= 1;
         self.let_go(id);
@@ -360,7 +430,7 @@
     fn gone(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|entry| entry.reply.is_some()) {
             self.events.push(Event::Withdrawn { id });
-            self.answer(id, Answer::Failed);
+            self.answer_or_left(id, Answer::Failed, true);
         }
     }
 
@@ -459,6 +529,7 @@
         for action in actions {
             self.carry_out(action);
         }
+        self.ways.desk.up.set(true);
         // It may have been told to leave before its interpreter came up.
         self.leave();
         log!("interpreter is up since {age:.3} s, {}", if cold { "cold" } else { "warm" });
@@ -635,8 +706,7 @@
             Action::Say(value) => self.say = Some(value),
             Action::Health { good, .. } => {
                 self.good = good;
-                let mode = if good { Mode::Open } else { Mode::Closed };
-                self.ways.directory.send_replace(Some(mode));
+                self.report();
             }
             Action::CloseIdle(after) => {
                 let after = if after > 0.0 { after } else { self.settings.idle };
@@ -678,8 +748,11 @@
             class: self.classes[entry.class].clone(),
             body: entry.body.clone(),
         };
+        let class = entry.class;
         if !self.command(command) {
             self.run_ended(id, RunEnd::NotStarted);
+        } else if !resumes {
+            self.ways.desk.counts.borrow_mut().sent(&self.settings.classes[class].name);
         }
     }
 
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -46,7 +46,15 @@
         let (directory, mode) = watch::channel(None);
         let (idle, owed) = (watch::channel(Idle::default()).0, watch::channel(0).0);
         let (reply_to, replies) = mpsc::channel(100);
-        let ways = Ways { engine: input.downgrade(), interpreter, database, directory, idle, owed };
+        let ways = Ways {
+            engine: input.downgrade(),
+            interpreter,
+            database,
+            directory,
+            idle,
+            owed,
+            desk: Rc::default(),
+        };
         let engine = Engine::new(&config, Clock::runtime(UNIX), ways);
         let began = Instant::now();
         Rig { engine, began, inputs, _input: input, commands, calls, mode, replies, reply_to, pos: 0 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,9 +6,11 @@
 //! not run twice, [`config`] is where the platform's configuration is read, [`cli`] is the command line, and [`server`]
 //! puts the parts together.
 
+pub mod admin;
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod counts;
 pub mod database;
 pub mod directory;
 pub mod engine;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,14 +1,15 @@
 //! One nodo: serves balancers until it is told to leave; and what an operator needs beside it.
 
 use clap::Parser;
+use jaspershunt_node::admin::Desk;
 use jaspershunt_node::cli::{self, Cli, Command, Serve};
 use jaspershunt_node::clock::Clock;
 use jaspershunt_node::config::{self, Config};
+use jaspershunt_node::server::Doors;
 use jaspershunt_node::{log, server};
 use std::io;
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -58,9 +59,10 @@
             let mut terminate = signal(SignalKind::terminate())?;
             let mut interrupt = signal(SignalKind::interrupt())?;
             let mut hangup = signal(SignalKind::hangup())?;
-            let listener = TcpListener::bind(config.listen)
-                .await
-                .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
+            let listener = server::listen("listen", config.listen, config.admin.is_some())?;
+            let admin = config.admin.map(|at| server::listen("admin", at, false)).transpose()?;
+            let desk = Rc::new(Desk::default());
+            let doors = Doors { listener, admin, desk: desk.clone() };
             let leave = async {
                 tokio::select! {
                     _ = terminate.recv() => {}
@@ -71,9 +73,10 @@
             let (operators, operator) = watch::channel(None);
             let running = config.clone();
             let path = how.operator.clone();
+            let counts = desk;
             spawn_local(async move {
                 while hangup.recv().await.is_some() {
-                    server::reload(&running, config::load(variable), &moves);
+                    server::reload(&running, config::load(variable), &moves, &counts);
                     let Some(path) = &path else { continue };
                     let read = jaspershunt_operator::load(path).map_err(|problems| one_line(problems.iter()));
                     let fits = read.and_then(|file| match running.against(&file) {
@@ -86,7 +89,7 @@
                     }
                 }
             });
-            server::run(config, Clock::System, listener, peers, operator, leave).await;
+            server::run(config, Clock::System, doors, peers, operator, leave).await;
             Ok::<(), io::Error>(())
         })
     };
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,5 +1,6 @@
 //! Puts the parts together, and takes them apart again when the nodo leaves.
 
+use crate::admin::{self, Desk};
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError, Peers};
 use crate::engine::input::{self, Input};
@@ -7,13 +8,17 @@
 use crate::fastcgi::connection::{Front, accept};
 use crate::{database, directory, interpreter, log};
 use jaspershunt_operator::File;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+/// Connections that the system holds until they are accepted.
+const BACKLOG: u32 = 1024;
 /// Beyond the grace the listener stays open so long, since a request that came just within it may be on its way.
 const BEYOND_GRACE: Duration = Duration::from_millis(100);
 /// The program ends so long before the kill whatever is left.
@@ -21,9 +26,31 @@
 /// A nodo that owes nothing waits so long for what may still be on its way before it closes its connections.
 const QUIET: Duration = Duration::from_millis(100);
 
+/// A listener on an address; the message of an error names the key. With `shared`, a later start of the program may listen
+/// there too, while this one still does.
+///
+/// # Errors
+/// The address cannot be had.
+pub fn listen(key: &str, at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let open = || {
+        let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(shared)?;
+        socket.bind(at)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|e| io::Error::new(e.kind(), format!("{key}: cannot listen on {at}: {e}")))
+}
+
 /// Takes up what may change in a nodo that runs, from a configuration that was read anew. One that cannot be used
 /// changes nothing.
-pub fn reload(running: &Config, read: Result<Config, ConfigError>, moves: &watch::Sender<Peers>) {
+pub fn reload(
+    running: &Config,
+    read: Result<Config, ConfigError>,
+    moves: &watch::Sender<Peers>,
+    desk: &Desk,
+) {
+    desk.counts.borrow_mut().configuration(read.is_ok());
     let new = match read {
         Ok(new) => new,
         Err(e) => return log!(WARN, "configuration: {e}; the one before stays in force"),
@@ -39,22 +66,41 @@
     log!("configuration read again: {what}{ignored}");
 }
 
+/// Where a nodo is called.
+pub struct Doors {
+    /// By balancers.
+    pub listener: TcpListener,
+    /// By operators, if they may.
+    pub admin: Option<TcpListener>,
+    /// What operators are shown.
+    pub desk: Rc<Desk>,
+}
+
+impl Doors {
+    /// Balancers alone can call.
+    pub fn new(listener: TcpListener) -> Doors {
+        Doors { listener, admin: None, desk: Rc::default() }
+    }
+}
+
 /// Runs a nodo on a listener until it is told to leave and has left. Needs to run in a local set. The addresses in
 /// `peers` take the place of those in `config`, and a file in `operator` that of the one before.
 pub async fn run(
     config: Config,
     clock: Clock,
-    listener: TcpListener,
+    doors: Doors,
     peers: watch::Receiver<Peers>,
     mut operator: watch::Receiver<Option<Rc<File>>>,
     leave: impl Future<Output = ()>,
 ) {
+    let Doors { listener, admin, desk } = doors;
     let (engine_in, engine_out) = mpsc::channel(input::QUEUE);
     let (commands_in, commands_out) = mpsc::channel(interpreter::QUEUE);
     let (calls_in, calls_out) = mpsc::channel(engine::CALLS);
     let (mode_in, mode_out) = watch::channel(None);
     let (idle_in, idle_out) = watch::channel(Idle::default());
     let (owed_in, mut owed) = watch::channel(0);
+    let (orders_in, orders_out) = mpsc::channel(admin::QUEUE);
     let ways = Ways {
         engine: engine_in.downgrade(),
         interpreter: commands_in,
@@ -62,8 +108,9 @@
         directory: mode_in,
         idle: idle_in.clone(),
         owed: owed_in,
+        desk: desk.clone(),
     };
-    spawn_local(Engine::new(&config, clock, ways).run(engine_out));
+    spawn_local(Engine::new(&config, clock, ways).run(engine_out, orders_out));
     spawn_local(interpreter::keep_link(peers.clone(), engine_in.clone(), commands_out));
     spawn_local(database::make_calls(peers.clone(), config.bounds.calls, engine_in.clone(), calls_out));
     let to_engine = engine_in.downgrade();
@@ -83,10 +130,17 @@
     let accepting = spawn_local(accept(listener, front.clone(), async {
         let _ = closed.await;
     }));
+    desk.listens.set(true);
+    if let Some(admin) = admin {
+        let at = admin.local_addr().map_or(String::new(), |at| format!(" on {at}"));
+        log!("{} answers operators{at}", config.name);
+        spawn_local(admin::serve(admin, desk.clone(), orders_in));
+    }
     log!("{} listens on {listens}", config.name);
 
     leave.await;
     let told = Instant::now();
+    desk.leaves.set(true);
     let end = told + config.stop.saturating_sub(EXIT_AHEAD);
     let _ = engine_in.send(Input::Leave).await;
     let grace = Duration::from_secs_f64(config.settings.drain_grace.min(1e6));
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,12 +1,14 @@
 //! A nodo on loopback, with the test in the place of everything that it talks to.
 #![allow(dead_code)]
 
+use jaspershunt_node::admin::Desk;
 use jaspershunt_node::clock::Clock;
 use jaspershunt_node::config::{self, Config, Peers};
 use jaspershunt_node::fastcgi::records::{self, kind, put_pair, put_record};
-use jaspershunt_node::server;
+use jaspershunt_node::server::{self, Doors};
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
@@ -210,6 +212,8 @@
     pub moves: watch::Sender<Peers>,
     pub operators: watch::Sender<Option<std::rc::Rc<jaspershunt_operator::File>>>,
     pub leave: Option<oneshot::Sender<()>>,
+    pub admin: SocketAddr,
+    pub desk: Rc<Desk>,
     pub done: JoinHandle<()>,
 }
 
@@ -233,9 +237,13 @@
         let config = config(address, vm, directory, db);
         let (moves, peers) = watch::channel(config.peers);
         let (operators, operator) = watch::channel(None);
-        let done = spawn_local(server::run(config, Clock::System, front, peers, operator, async {
+        let (operators_at, admin) = listener().await;
+        let desk = Rc::new(Desk::default());
+        let doors = Doors { listener: front, admin: Some(operators_at), desk: desk.clone() };
+        let run = server::run(config, Clock::System, doors, peers, operator, async {
             let _ = told.await;
-        }));
+        });
+        let done = spawn_local(run);
         let link = Peer::accept(&interpreter).await;
         (
             Nodo {
@@ -247,6 +255,8 @@
                 moves,
                 operators,
                 leave: Some(leave),
+                admin,
+                desk,
                 done,
             },
             lookup,
@@ -261,6 +271,17 @@
         report
     }
 
+    /// What operators get for a line.
+    pub async fn call(&self, line: &str) -> String {
+        let mut caller = Peer::new(TcpStream::connect(self.admin).await.unwrap());
+        caller.send(format!("{line}\n")).await;
+        let mut answer = String::new();
+        while let Some(line) = caller.line().await {
+            answer += &line;
+        }
+        answer
+    }
+
     pub async fn connect(&self) -> Peer {
         Peer::new(TcpStream::connect(self.address).await.unwrap())
     }
