Start again under load as one nodo: hand over listener, keys and connections

The listener and the connections go over a Unix socket by their descriptors (rustix; no unsafe), the table of keys in pieces; from one step of the engine on all that is new is the later start's. Not taken, and why: SO_REUSEPORT alone (the queue of a listener that closes is reset), a claim asked of the other process for each key (two decisions on load), closing idle connections (a request may cross the close).

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -24,8 +24,11 @@
 
 mod below;
 pub mod input;
+mod upgrade;
+use crate::upgrade::claims::{Claims, Goes};
 use below::Several;
 use input::{CallEnd, Input, Message, QUEUE, RunEnd};
+use upgrade::Partner;
 
 /// Calls that wait to be made.
 pub const CALLS: usize = 1024;
@@ -53,12 +56,16 @@
     pub limit: Duration,
     /// Whether that goes for all time to come, and not only for this moment.
     pub standing: bool,
+    /// Connections are passed on to a later start as soon as they are quiet.
+    pub passing: bool,
+    /// Those that are not quiet are read no more, so that they become so.
+    pub last_call: bool,
 }
 
 impl Default for Idle {
     /// None are closed.
     fn default() -> Idle {
-        Idle { limit: Duration::MAX, standing: false }
+        Idle { limit: Duration::MAX, standing: false, passing: false, last_call: false }
     }
 }
 
@@ -165,6 +172,9 @@
     wakes: Vec<u64>,
     tag: u64,
     owed: usize,
+    /// Who owns the keys, and the other process of an upgrade.
+    claims: Claims,
+    partner: Partner,
     /// When all must be answered, once the nodo leaves.
     stop_at: Option<f64>,
 }
@@ -199,6 +209,8 @@
             wakes: Vec::new(),
             tag: 0,
             owed: 0,
+            claims: Claims::Mine,
+            partner: Partner::default(),
             stop_at: None,
         }
     }
@@ -225,17 +237,22 @@
     pub fn obey(&mut self, order: Order) {
         match order {
             Order::Lameduck { on, done } => {
-                if on != self.lameduck {
-                    self.lameduck = on;
-                    log!("{}", if on { "clients are sent away" } else { "clients are taken again" });
-                    self.report();
-                }
+                self.set_lameduck(on);
+                self.pass_on_lameduck();
                 // An error means that the caller did not wait.
                 let _ = done.send(());
             }
         }
     }
 
+    fn set_lameduck(&mut self, on: bool) {
+        if on != self.lameduck {
+            self.lameduck = on;
+            log!("{}", if on { "clients are sent away" } else { "clients are taken again" });
+            self.report();
+        }
+    }
+
     /// Whether health checks are answered as good. Operators who send clients away go before the module, which knows
     /// nothing of it: what still comes is served as ever.
     fn in_health(&self) -> bool {
@@ -268,7 +285,8 @@
                 self.carry_out(action);
             }
         }
-        self.ways.owed.send_if_modified(|owed| std::mem::replace(owed, self.owed) != self.owed);
+        let owed = self.in_hand();
+        self.ways.owed.send_if_modified(|told| std::mem::replace(told, owed) != owed);
     }
 
     /// Takes in one thing. What concerns the module is put among its events.
@@ -299,6 +317,7 @@
             Input::Lost { id } => self.lost(id),
             Input::BelowDue => self.below_due(),
             Input::Operator(file) => self.take_up(&file),
+            Input::Peer(peer) => self.heard_of_partner(peer),
             Input::Leave => {
                 if let Some(several) = &mut self.several {
                     several.leave();
@@ -322,9 +341,17 @@
     // Requests.
 
     fn arrive(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
+        let goes = if self.claims == Claims::Mine { Goes::Here } else { self.place(&work) };
+        if goes == Goes::There {
+            return self.relay(id, work, reply);
+        }
         let class = work.class;
         self.ways.desk.counts.borrow_mut().taken(&self.settings.classes[class].name);
-        if let Err((reply, answer)) = self.admit(id, work, reply) {
+        let admitted = match goes {
+            Goes::Nowhere => Err((reply, Answer::Failed)),
+            _ => self.admit(id, work, reply),
+        };
+        if let Err((reply, answer)) = admitted {
             // It never reached the module, and is over.
             self.count_end(class, Some(&answer));
             reply.send(Reply::new(answer, self.say));
@@ -363,7 +390,13 @@
         if let Some(key) = &work.key {
             let requests = &self.requests;
             let held = |id| requests.get(&id).is_some_and(|e| matches!(e.place, Place::Held) && !e.started);
-            match self.keys.arrived(key, print(work.class, &work.body), id, self.now, held) {
+            match self.keys.arrived(
+                key,
+                print(&self.settings.classes[work.class].name, &work.body),
+                id,
+                self.now,
+                held,
+            ) {
                 Ok(earlier) => repeats = earlier,
                 Err(NotTaken::OtherBody) => {
                     return Err((reply, Answer::Bad));
@@ -428,6 +461,9 @@
     }
 
     fn gone(&mut self, id: RequestId) {
+        if self.relay_gone(id) {
+            return;
+        }
         if self.requests.get(&id).is_some_and(|entry| entry.reply.is_some()) {
             self.events.push(Event::Withdrawn { id });
             self.answer_or_left(id, Answer::Failed, true);
@@ -451,8 +487,9 @@
         if let Some(key) = &entry.key {
             self.keys.forget(key, id);
             if entry.started {
-                self.key_ended(&key.clone(), id, None);
+                self.key_ended(key, id, None);
             }
+            self.tell_of_key(key);
         }
     }
 
@@ -530,6 +567,7 @@
             self.carry_out(action);
         }
         self.ways.desk.up.set(true);
+        self.ask_to_begin();
         // It may have been told to leave before its interpreter came up.
         self.leave();
         log!("interpreter is up since {age:.3} s, {}", if cold { "cold" } else { "warm" });
@@ -570,9 +608,8 @@
     /// The run of a key is over: those that wait for it get what it made. Only the first report counts.
     fn key_ended(&mut self, key: &Key, id: RequestId, result: Option<Rc<[u8]>>) {
         self.keys.ended(key, id, result.clone());
-        for follower in self.followers.remove(key).unwrap_or_default() {
-            self.serve_from(follower, result.clone());
-        }
+        self.tell_of_key(key);
+        self.serve_followers(key, result);
     }
 
     fn serve_from(&mut self, id: RequestId, result: Option<Rc<[u8]>>) {
@@ -788,7 +825,7 @@
     fn close_idle(&self, limit: Duration) {
         self.ways.idle.send_if_modified(|idle| {
             if !idle.standing {
-                *idle = Idle { limit, standing: false };
+                idle.limit = limit;
             }
             !idle.standing
         });
--- a/crates/node/src/engine/input.rs
+++ b/crates/node/src/engine/input.rs
@@ -2,8 +2,11 @@
 //! balancers know this file and not the engine.
 
 use crate::request::{ReplyTo, Work};
+use crate::upgrade::link::Out;
+use crate::upgrade::wire::{Entry, Relayed, Told};
 use jaspershunt::{Outcome, RequestId};
 use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
 
 /// What may wait for the engine at once; those who have more to say wait.
 pub const QUEUE: usize = 1024;
@@ -66,10 +69,74 @@
         /// The request.
         id: RequestId,
     },
+    /// The other process of an upgrade said something.
+    Peer(Peer),
     /// The nodo is to leave.
     Leave,
 }
 
+/// What the other process of an upgrade says; see [`Message`](crate::upgrade::wire::Message).
+#[derive(Debug)]
+pub enum Peer {
+    /// A later start asks how operators have it.
+    Lame {
+        /// Told whether clients are sent away.
+        told: oneshot::Sender<bool>,
+    },
+    /// An earlier start is there to take over from.
+    Earlier {
+        /// The way to it.
+        to: mpsc::Sender<Out>,
+        /// It has clients sent away.
+        lameduck: bool,
+    },
+    /// Another process runs, or ran, what is not known here.
+    Beside,
+    /// A later start can run requests.
+    Begin {
+        /// The way to it.
+        to: mpsc::Sender<Out>,
+    },
+    /// The reply to a try that was sent to the later start.
+    Reply {
+        /// The try.
+        ticket: u64,
+        /// The reply.
+        reply: Told,
+    },
+    /// A piece of the earlier start's table of keys.
+    Table(Vec<Entry>),
+    /// That was all of it.
+    Yours,
+    /// A try that reached the earlier start.
+    Work {
+        /// What it is known by there.
+        ticket: u64,
+        /// The try.
+        work: Relayed,
+        /// The way for its reply.
+        to: mpsc::Sender<Out>,
+    },
+    /// The caller of such a try has gone.
+    Gone {
+        /// The try.
+        ticket: u64,
+    },
+    /// What became of a key that the earlier start had in hand.
+    Ended(Entry),
+    /// Operators send clients away, or take them again.
+    Lameduck {
+        /// Whether they are sent away.
+        on: bool,
+    },
+    /// The earlier start has ended its work, and is gone.
+    Farewell,
+    /// The link broke.
+    Broke,
+    /// The nodo ends at once: what is still owed fails.
+    GiveUp,
+}
+
 /// How a run ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RunEnd {
--- /dev/null
+++ b/crates/node/src/engine/upgrade.rs
@@ -0,0 +1,269 @@
+//! The engine's side of an upgrade: gives the keys away, sends on what is new, and takes over what an earlier start had.
+//! Who owns the keys is decided in [`crate::upgrade::claims`].
+
+use super::{Engine, Entry, WINDOW_SLACK};
+use crate::engine::input::Peer;
+use crate::keys::Run;
+use crate::log;
+use crate::request::{Answer, Key, Reply, ReplyTo, Work};
+use crate::upgrade::claims::{Claims, Goes, Known, Try};
+use crate::upgrade::link::Out;
+use crate::upgrade::wire::{self, Message, PIECE, Relayed, State};
+use jaspershunt::{Class, Repeat, RequestId, Settings};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+/// Tries that may be out at the later start at once; more are refused.
+const RELAYS: usize = 4096;
+/// Requests of the other process have ids of their own here: its tries, and those of the keys that it had in hand.
+const RELAYED: u64 = 1 << 61;
+const ADOPTED: u64 = 1 << 62;
+
+/// What the engine knows of the other process.
+#[derive(Default)]
+pub(super) struct Partner {
+    /// The way there, while the link holds.
+    to: Option<mpsc::Sender<Out>>,
+    /// Tries that are out there, and where their replies go.
+    relays: BTreeMap<u64, ReplyTo>,
+    /// Keys taken over so far.
+    adopted: u64,
+    /// All keys were taken over from it.
+    owns: bool,
+}
+
+impl Partner {
+    /// Says something; whether it is on its way.
+    fn say(&self, message: Message) -> bool {
+        self.to.as_ref().is_some_and(|to| to.try_send(message.into()).is_ok())
+    }
+}
+
+impl Engine {
+    /// The interpreter is up: an earlier start, if there is one, is asked to hand over.
+    pub(super) fn ask_to_begin(&self) {
+        self.partner.say(Message::Begin);
+    }
+
+    /// Tells the other process what operators want.
+    pub(super) fn pass_on_lameduck(&self) {
+        self.partner.say(Message::Lameduck { on: self.lameduck });
+    }
+
+    /// What the other process says.
+    pub(super) fn heard_of_partner(&mut self, peer: Peer) {
+        match peer {
+            Peer::Lame { told } => drop(told.send(self.lameduck)),
+            Peer::Earlier { to, lameduck } => {
+                self.partner = Partner { to: Some(to), ..Partner::default() };
+                self.set_lameduck(lameduck);
+                if self.module.is_some() {
+                    self.ask_to_begin();
+                }
+            }
+            Peer::Beside => self.claims.break_off(self.now, longest_window(&self.settings)),
+            Peer::Begin { to } => self.give_away(to),
+            Peer::Reply { ticket, reply } => {
+                if let Some(waits) = self.partner.relays.remove(&ticket) {
+                    waits.send(Reply { say: self.say, ..reply.into() });
+                }
+            }
+            Peer::Table(entries) => entries.into_iter().for_each(|entry| self.adopt(entry)),
+            Peer::Yours => {
+                self.partner.owns = true;
+                log!("upgrade: {} keys were taken over", self.partner.adopted);
+            }
+            Peer::Ended(entry) => self.adopt(entry),
+            Peer::Work { ticket, work, to } => {
+                let id = RequestId(RELAYED + ticket);
+                let reply = ReplyTo::relay(to, ticket);
+                let names = &self.names;
+                match work.work(|name| names.class(name).ok(), |name| names.tenant(name)) {
+                    Some(work) => self.arrive(id, work, reply),
+                    None => reply.send(Reply::new(Answer::Bad, self.say)),
+                }
+            }
+            Peer::Gone { ticket } => self.gone(RequestId(RELAYED + ticket)),
+            Peer::Lameduck { on } => self.set_lameduck(on),
+            Peer::Farewell => self.partner_lost(true),
+            Peer::Broke => self.partner_lost(false),
+            Peer::GiveUp => self.give_up_all(),
+        }
+    }
+
+    // The earlier start.
+
+    /// Gives all keys to the later start, and with them all that is new from here on. What it is told goes in order, so
+    /// that the table is there before the first try that needs it.
+    fn give_away(&mut self, to: mpsc::Sender<Out>) {
+        self.partner = Partner { to: Some(to), ..Partner::default() };
+        let in_hand =
+            self.now + longest(&self.settings, |class| class.deadline) + longest_window(&self.settings);
+        let epoch = self.epoch;
+        let entries = self.keys.entries().map(|(key, print, run)| {
+            let (until, state) = match run {
+                None => (in_hand, State::InHand),
+                Some((until, run)) => (until, state_of(run)),
+            };
+            wire::Entry { key: key.clone(), print, until: until + epoch, state }
+        });
+        let mut all = Vec::from_iter(entries);
+        let count = all.len();
+        let mut said = true;
+        while !all.is_empty() && said {
+            let rest = all.split_off(all.len().min(PIECE));
+            said = self.partner.say(Message::Table(std::mem::replace(&mut all, rest)));
+        }
+        if !said || !self.partner.say(Message::Yours) {
+            // The link ends as the way there is dropped with it; until then it has been told of nothing that is its own.
+            log!(ERROR, "upgrade: {count} keys are too many for the link; they stay here");
+            self.partner = Partner::default();
+            return;
+        }
+        self.claims.give();
+        log!("upgrade: {count} keys are the later start's, {} requests are ended here", self.requests.len());
+    }
+
+    /// Where a try goes, as far as keys have a say.
+    pub(super) fn place(&mut self, work: &Work) -> Goes {
+        let known = match &work.key {
+            None => Known::NoKey,
+            Some(key) if self.keys.knows(key) => Known::Here,
+            Some(_) => Known::Nothing,
+        };
+        let may_repeat = work.resent || !self.settings.marks_retry;
+        let arrived = work.arrived.map_or(self.now, |unix| unix - self.epoch);
+        self.claims.place(self.now, Try { known, may_repeat, arrived })
+    }
+
+    /// What this process still has to see to its end: answers that are owed, here or by way of the later start, and, while
+    /// that owns the keys, the runs of keys whose callers have left, since what they come to has to be told.
+    pub(super) fn in_hand(&self) -> usize {
+        let told = self.claims == Claims::Theirs;
+        let runs = |e: &&Entry| e.reply.is_none() && e.key.is_some() && e.runs();
+        let unheard = if told { self.requests.values().filter(runs).count() } else { 0 };
+        self.owed + self.partner.relays.len() + unheard
+    }
+
+    /// Sends a try to the later start.
+    pub(super) fn relay(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
+        let class = &self.settings.classes[work.class].name;
+        let tenant =
+            work.tenant.and_then(|tenant| self.settings.tenants.get(tenant)).map(|t| t.name.as_str());
+        let message = Message::Work { ticket: id.0, work: Relayed::new(work, class, tenant) };
+        if self.partner.relays.len() < RELAYS && self.partner.say(message) {
+            self.partner.relays.insert(id.0, reply);
+        } else {
+            let stay_away = self.settings.max_stay_away;
+            reply.send(Reply::new(Answer::Refused { stay_away, last: false }, self.say));
+        }
+    }
+
+    /// The caller of a try that is out at the later start has gone; whether it was one.
+    pub(super) fn relay_gone(&mut self, id: RequestId) -> bool {
+        let Some(reply) = self.partner.relays.remove(&id.0) else { return false };
+        self.partner.say(Message::Gone { ticket: id.0 });
+        reply.send(Reply::new(Answer::Failed, self.say));
+        true
+    }
+
+    /// Tells the later start what a key has come to that was in hand here.
+    pub(super) fn tell_of_key(&mut self, key: &Key) {
+        if self.partner.to.is_none() || self.claims != Claims::Theirs {
+            return;
+        }
+        let Some((print, until, state)) = (match self.keys.run_until(key) {
+            Some((_, _, Run::Running)) => None,
+            Some((print, until, run)) => Some((print, until, state_of(run))),
+            None if self.keys.knows(key) => None,
+            None => Some((0, self.now, State::NeverRan)),
+        }) else {
+            return;
+        };
+        let entry = wire::Entry { key: key.clone(), print, until: until + self.epoch, state };
+        if !self.partner.say(Message::Ended(entry)) {
+            log!(ERROR, "upgrade: the link is full; what became of a key is not told");
+        }
+    }
+
+    /// The nodo is about to end: what is still owed fails.
+    fn give_up_all(&mut self) {
+        for id in std::mem::take(&mut self.partner.relays).into_iter().map(|(ticket, reply)| {
+            reply.send(Reply::new(Answer::Failed, self.say));
+            ticket
+        }) {
+            self.partner.say(Message::Gone { ticket: id });
+        }
+        let owed: Vec<RequestId> =
+            self.requests.iter().filter(|(_, e)| e.reply.is_some()).map(|(id, _)| *id).collect();
+        for id in owed {
+            self.answer(id, Answer::Failed);
+        }
+    }
+
+    // The later start.
+
+    /// Takes over what is known of a key.
+    fn adopt(&mut self, entry: wire::Entry) {
+        let until = entry.until - self.epoch;
+        self.partner.adopted += 1;
+        let id = RequestId(ADOPTED + self.partner.adopted);
+        let (run, result) = match entry.state {
+            State::InHand => (Some(Run::Running), None),
+            State::Done(result) => (Some(Run::Done(result.clone())), Some(result)),
+            State::Failed => (Some(Run::Failed), None),
+            State::NeverRan => (None, None),
+        };
+        let running = run == Some(Run::Running);
+        self.keys.adopt(&entry.key, entry.print, id, until, run);
+        if !running {
+            self.serve_followers(&entry.key, result);
+        }
+    }
+
+    // Both.
+
+    /// The other process is gone, or beyond reach. What it had in hand may have run; and, unless it ended of itself, what
+    /// has come since.
+    fn partner_lost(&mut self, ended: bool) {
+        let partner = std::mem::take(&mut self.partner);
+        for (_, reply) in partner.relays {
+            reply.send(Reply::new(Answer::Failed, self.say));
+        }
+        // Before the keys are given the later start takes no clients.
+        if !ended && (self.claims == Claims::Theirs || partner.owns) {
+            self.claims.break_off(self.now, longest_window(&self.settings));
+        }
+        for key in self.keys.fail_from(RequestId(ADOPTED)) {
+            self.serve_followers(&key, None);
+        }
+    }
+
+    /// Those that wait for the run of a key get what it made.
+    pub(super) fn serve_followers(&mut self, key: &Key, result: Option<Rc<[u8]>>) {
+        for follower in self.followers.remove(key).unwrap_or_default() {
+            self.serve_from(follower, result.clone());
+        }
+    }
+}
+
+fn longest(settings: &Settings, time: impl Fn(&Class) -> f64) -> f64 {
+    settings.classes.iter().map(time).fold(0.0, f64::max)
+}
+
+/// The longest that a key is remembered.
+pub(super) fn longest_window(settings: &Settings) -> f64 {
+    longest(settings, |class| match class.repeat {
+        Repeat::Keyed(window) => window + WINDOW_SLACK,
+        _ => 0.0,
+    })
+}
+
+fn state_of(run: &Run) -> State {
+    match run {
+        Run::Running => State::InHand,
+        Run::Done(result) => State::Done(result.clone()),
+        Run::Failed => State::Failed,
+    }
+}
--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -10,6 +10,8 @@
 use crate::log::Limiter;
 use crate::request::{self, Answer, Asked, BadRequest, Reply, ReplyTo};
 use crate::socket::silent;
+use crate::upgrade::link::Out;
+use crate::upgrade::wire::Message;
 use jaspershunt::{RequestId, Settings};
 use jaspershunt_settings::Names;
 use std::cell::{Cell, RefCell};
@@ -20,7 +22,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// With more answers than this unwritten, nothing more is read: who reads no answers sends no requests.
@@ -68,6 +70,8 @@
     faults: RefCell<Limiter>,
     /// The last request id that was given out; ids are never used twice.
     pub last_id: Cell<u64>,
+    /// The way to a later start, to which quiet connections go.
+    heir: RefCell<Option<mpsc::Sender<Out>>>,
 }
 
 /// A connection as the others see it.
@@ -83,9 +87,17 @@
 }
 
 /// Accepts connections until `stop`, and takes in those that the machine has accepted by then.
-pub async fn accept(listener: TcpListener, front: Rc<Front>, stop: impl Future<Output = ()>) {
+pub async fn accept(listener: Rc<TcpListener>, front: Rc<Front>, stop: impl Future<Output = ()>) {
     let mut stop = std::pin::pin!(stop);
+    let mut idle = front.idle.clone();
     loop {
+        // A later start accepts now.
+        if idle.borrow_and_update().passing {
+            tokio::select! {
+                Ok(()) = idle.changed() => continue,
+                () = &mut stop => return,
+            }
+        }
         // Descriptors are left for everything else: the rest waits until a connection has ended.
         if front.open.get() >= front.most {
             let ended = front.ended.notified();
@@ -98,12 +110,13 @@
         tokio::select! {
             biased;
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => start(stream, peer, &front),
+                Ok((stream, peer)) => start(stream, peer, &front, Vec::new(), false),
                 Err(e) => {
                     log!(WARN, "cannot accept a connection: {e}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
+            Ok(()) = idle.changed() => {}
             () = &mut stop => break,
         }
     }
@@ -111,16 +124,17 @@
     // looks at its sockets before it takes this up again.
     tokio::task::yield_now().await;
     while let Ok(Ok((stream, peer))) = timeout_at(Instant::now(), listener.accept()).await {
-        start(stream, peer, &front);
+        start(stream, peer, &front, Vec::new(), false);
     }
 }
 
-fn start(stream: TcpStream, peer: SocketAddr, front: &Rc<Front>) {
+/// Serves a connection, of which `input` was read already.
+fn start(stream: TcpStream, peer: SocketAddr, front: &Rc<Front>, input: Vec<u8>, used: bool) {
     let front = front.clone();
     front.open.set(front.open.get() + 1);
     let place = front.slots.borrow().last_key_value().map_or(0, |(place, _)| place + 1);
     let slot = Rc::new(Slot {
-        used: Cell::new(false),
+        used: Cell::new(used),
         quiet: Cell::new(true),
         last_traffic: Cell::new(Instant::now()),
         asked: Cell::new(false),
@@ -129,7 +143,7 @@
     front.slots.borrow_mut().insert(place, slot.clone());
     tokio::task::spawn_local(async move {
         let _ = stream.set_nodelay(true);
-        Connection::new(stream, peer, front.clone(), slot).serve().await;
+        Connection::new(stream, peer, front.clone(), slot, input).serve().await;
         front.slots.borrow_mut().remove(&place);
         front.open.set(front.open.get() - 1);
         front.ended.notify_waiters();
@@ -152,9 +166,30 @@
             ended: Notify::new(),
             faults: RefCell::new(Limiter::new(1)),
             last_id: Cell::new(0),
+            heir: RefCell::default(),
         }
     }
 
+    /// From now on quiet connections go there, once [`Idle::passing`] says so; or nowhere.
+    pub fn hand_to(&self, heir: Option<mpsc::Sender<Out>>) {
+        *self.heir.borrow_mut() = heir;
+    }
+
+    /// Takes leave of a later start, once all that was said to it has left this process, or it is time.
+    pub async fn farewell(&self, until: Instant) {
+        let Some(heir) = self.heir.borrow().clone() else { return };
+        let (left, gone) = oneshot::channel();
+        let out = Out { message: Message::Farewell, beside: None, left: Some(left) };
+        if heir.try_send(out).is_ok() {
+            let _ = timeout_at(until, gone).await;
+        }
+    }
+
+    /// Serves a connection that another process had, with what that had read of it.
+    pub fn take_over(self: &Rc<Front>, stream: TcpStream, peer: SocketAddr, input: Vec<u8>, used: bool) {
+        start(stream, peer, self, input, used);
+    }
+
     /// Asks the connection that is of least use to end: one that never brought a request that makes sense, else one that
     /// has been idle, and of these the one that has been so for longest. None on which an answer is owed.
     fn make_room(&self) {
@@ -182,6 +217,8 @@
 enum End {
     /// All is done.
     Finished,
+    /// It goes to a later start.
+    Passed,
     /// The peer has gone without waiting for its answers.
     Gone,
     /// The peer broke the protocol or a bound, as the text says.
@@ -219,7 +256,13 @@
 }
 
 impl Connection {
-    fn new(stream: TcpStream, peer: SocketAddr, front: Rc<Front>, slot: Rc<Slot>) -> Connection {
+    fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        front: Rc<Front>,
+        slot: Rc<Slot>,
+        input: Vec<u8>,
+    ) -> Connection {
         // Room for a reply to every request that may be open: handing one over never waits.
         let (reply_to, replies) = mpsc::channel(MAX_OPEN);
         let requests = Requests::new(front.held.clone());
@@ -233,7 +276,7 @@
             replies,
             reply_to,
             slot,
-            input: Vec::new(),
+            input,
             output: Vec::new(),
             booked: 0,
             read_closed: false,
@@ -248,6 +291,9 @@
         let end = match self.converse().await {
             Ok(end) | Err(end) => end,
         };
+        if let End::Passed = end {
+            return self.pass().await;
+        }
         if let End::Fault(what) = end {
             self.front.fault(self.peer, &what);
         }
@@ -262,9 +308,38 @@
         self.front.unwritten.give(self.booked);
     }
 
+    /// Hands the connection to a later start, with what was read of it; if that cannot be, it is served on here.
+    async fn pass(self) {
+        let Connection { stream, peer, front, input, slot, .. } = self;
+        let heir = front.heir.borrow().clone();
+        let used = slot.used.get();
+        let Ok(stream) = stream.into_std() else { return };
+        let Ok(beside) = stream.try_clone() else { return };
+        let (left, passed) = oneshot::channel();
+        let message = Message::Connection { input: input.clone(), used };
+        let out = Out { message, beside: Some(beside.into()), left: Some(left) };
+        let sent = match &heir {
+            Some(heir) => heir.send(out).await.is_ok(),
+            None => false,
+        };
+        if sent && passed.await.is_ok() {
+            return;
+        }
+        if let Ok(stream) = TcpStream::from_std(stream) {
+            start(stream, peer, &front, input, used);
+        }
+    }
+
     async fn converse(&mut self) -> Result<End, End> {
         let mut idle = self.front.idle.clone();
         let mut reads = 0;
+        if !self.input.is_empty() {
+            self.take_in().await?;
+            self.write()?;
+        }
+        if self.slot.used.get() {
+            self.waits_since = None;
+        }
         loop {
             // What is not whole by now never will be: waiting for it would keep the connection open for ever.
             let no_more = self.closing || self.read_closed;
@@ -273,7 +348,13 @@
                 return Ok(End::Finished);
             }
             self.slot.quiet.set(!owed);
-            let may_read = !self.read_closed && !self.closing && self.output.len() < MAX_UNWRITTEN;
+            let (passing, last_call) = (idle.borrow().passing, idle.borrow().last_call);
+            // Nothing is open, and what was read goes along: no request meets a closed connection.
+            if passing && !owed && self.requests.is_empty() && !self.read_closed && !self.closing {
+                return Ok(End::Passed);
+            }
+            let waits = last_call && passing && owed && !self.partial();
+            let may_read = !self.read_closed && !self.closing && !waits && self.output.len() < MAX_UNWRITTEN;
             if idle.borrow().standing && self.may_close() {
                 return Ok(End::Finished);
             }
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -6,8 +6,9 @@
 
 use crate::request::Key;
 use jaspershunt::RequestId;
+use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::hash::Hasher;
 use std::rc::Rc;
 
 /// What a record takes beside its key and result: the record, its places in both indexes, and their slack.
@@ -51,9 +52,14 @@
 
 /// What stands for the body of a request and its class. Two bodies with the same print are taken for one; as the
 /// print has 64 bits, that happens to nobody who does not work for it.
-pub fn print(class: usize, body: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (class, body).hash(&mut hasher);
+///
+/// The same in every build and version, as it crosses from one start of the program to the next; the class counts by its
+/// name, as its place may be another there.
+pub fn print(class: &str, body: &[u8]) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0, 0);
+    hasher.write(&(class.len() as u64).to_le_bytes());
+    hasher.write(class.as_bytes());
+    hasher.write(body);
     hasher.finish()
 }
 
@@ -73,6 +79,10 @@
     (t.max(0.0) * 1e6) as u64
 }
 
+fn seconds(micros: u64) -> f64 {
+    micros as f64 / 1e6
+}
+
 fn weight(key: &Key) -> usize {
     // Each of the three tables holds the key by reference.
     RECORD_BYTES + key.len()
@@ -144,6 +154,65 @@
         self.drop_if_empty(key);
     }
 
+    /// Whether anything is known of a key.
+    pub fn knows(&self, key: &Key) -> bool {
+        self.records.contains_key(key)
+    }
+
+    /// All keys with their prints, and for those that ran, what became of that and until when it is remembered.
+    pub fn entries(&self) -> impl Iterator<Item = (&Key, u64, Option<(f64, &Run)>)> {
+        let ran = |ran: &'_ Ran| seconds(ran.until);
+        self.records.iter().map(move |(key, r)| (key, r.print, r.ran.as_ref().map(|it| (ran(it), &it.run))))
+    }
+
+    /// What [`Keys::entries`] has of one key that ran.
+    pub fn run_until(&self, key: &Key) -> Option<(u64, f64, &Run)> {
+        let record = self.records.get(key)?;
+        record.ran.as_ref().map(|ran| (record.print, seconds(ran.until), &ran.run))
+    }
+
+    /// Takes over a key from another process, or news of one that was taken over; `None` says that no try of it ran. What
+    /// ran here goes before. Never left out for want of room, as it would run twice then; but its result may be.
+    pub fn adopt(&mut self, key: &Key, print: u64, id: RequestId, until: f64, run: Option<Run>) {
+        if let Some(ran) = self.records.get_mut(key).and_then(|record| record.ran.take()) {
+            if ran.run != Run::Running {
+                // What is known for certain does not change.
+                if let Some(record) = self.records.get_mut(key) {
+                    record.ran = Some(ran);
+                }
+                return;
+            }
+            self.ends.remove(&(ran.until, key.clone()));
+        }
+        let Some(run) = run else { return self.drop_if_empty(key) };
+        if !self.records.contains_key(key) {
+            self.bytes += weight(key);
+            self.records.insert(key.clone(), Record { print, holder: None, ran: None });
+        }
+        let until = micros(until);
+        if let Some(record) = self.records.get_mut(key) {
+            record.ran = Some(Ran { id, until, run: Run::Running });
+        }
+        self.ends.insert((until, key.clone()));
+        match run {
+            Run::Running => {}
+            Run::Done(result) => self.ended(key, id, Some(result)),
+            Run::Failed => self.ended(key, id, None),
+        }
+    }
+
+    /// The runs of all tries from this id on are over, and nobody knows how; returns their keys.
+    pub fn fail_from(&mut self, first: RequestId) -> Vec<Key> {
+        let mut failed = Vec::new();
+        for (key, record) in &mut self.records {
+            if let Some(ran) = record.ran.as_mut().filter(|ran| ran.id >= first && ran.run == Run::Running) {
+                ran.run = Run::Failed;
+                failed.push(key.clone());
+            }
+        }
+        failed
+    }
+
     /// What became of the run of a key within its window; `None` if there was none.
     pub fn run(&self, key: &Key) -> Option<&Run> {
         self.records.get(key)?.ran.as_ref().map(|ran| &ran.run)
@@ -232,6 +301,8 @@
         Key::from(text)
     }
 
+    const PRINT: u64 = 9278708264738962703;
+
     fn result(bytes: usize) -> Option<Rc<[u8]>> {
         Some(vec![7; bytes].into())
     }
@@ -266,8 +337,10 @@
     #[test]
     fn a_try_with_another_body_is_none_of_the_request() {
         let (mut keys, k) = (Keys::new(100_000), key("k"));
-        assert_ne!(print(1, b"a"), print(1, b"b"));
-        assert_ne!(print(1, b"a"), print(2, b"a"));
+        assert_ne!(print("1", b"a"), print("1", b"b"));
+        assert_ne!(print("1", b"a"), print("2", b"a"));
+        assert_ne!(print("1", b"a"), print("1a", b""));
+        assert_eq!(print("sign", b"body"), PRINT, "another version would not know it");
         assert_eq!(keys.arrived(&k, 7, RequestId(1), 1.0, |_| true), Ok(None));
         assert_eq!(keys.arrived(&k, 8, RequestId(2), 1.0, |_| true), Err(NotTaken::OtherBody));
         keys.started(&k, RequestId(1), 11.0);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod request;
 pub mod server;
 pub mod socket;
+pub mod upgrade;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,8 +6,11 @@
 use jaspershunt_node::clock::Clock;
 use jaspershunt_node::config::{self, Config};
 use jaspershunt_node::server::Doors;
+use jaspershunt_node::upgrade::link::Place;
+use jaspershunt_node::upgrade::{self, Earlier};
 use jaspershunt_node::{log, server};
 use std::io;
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::runtime::Builder;
@@ -59,10 +62,20 @@
             let mut terminate = signal(SignalKind::terminate())?;
             let mut interrupt = signal(SignalKind::interrupt())?;
             let mut hangup = signal(SignalKind::hangup())?;
-            let listener = server::listen("listen", config.listen, config.admin.is_some())?;
             let admin = config.admin.map(|at| server::listen("admin", at, false)).transpose()?;
+            // A later start can take over where operators call, and where there is a folder that both see.
+            let folder = config.admin.and(variable("TMPDIR").filter(|folder| !folder.is_empty()));
+            let upgrade = folder.map(|folder| Place::new(Path::new(&folder), &config.name));
+            let earlier = match &upgrade {
+                Some(place) => upgrade::find(place, &config.name, config.listen).await,
+                None => Earlier::None,
+            };
+            let listener = match &earlier {
+                Earlier::Found(found) => found.listener()?,
+                _ => server::listen("listen", config.listen, config.admin.is_some())?,
+            };
             let desk = Rc::new(Desk::default());
-            let doors = Doors { listener, admin, desk: desk.clone() };
+            let doors = Doors { listener, admin, desk: desk.clone(), upgrade, earlier };
             let leave = async {
                 tokio::select! {
                     _ = terminate.recv() => {}
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,6 +1,8 @@
 //! Requests and replies as the engine knows them, whatever protocol carries them, and how a request is read from the
 //! fields that every protocol carries by the same names.
 
+use crate::upgrade::link::Out;
+use crate::upgrade::wire::Message;
 use jaspershunt::{CallerId, Repeat, Settings};
 use jaspershunt_settings::Names;
 use std::fmt;
@@ -205,20 +207,35 @@
 /// Where the one reply to a request goes. The receiver has room for as many replies as it lets requests be open, so
 /// that sending never waits; a receiver that has gone needs none.
 #[derive(Clone, Debug)]
-pub struct ReplyTo {
-    to: mpsc::Sender<(u16, Reply)>,
-    ticket: u16,
+pub struct ReplyTo(To);
+
+#[derive(Clone, Debug)]
+enum To {
+    /// A connection here, and what the peer knows the request by.
+    Connection(mpsc::Sender<(u16, Reply)>, u16),
+    /// The other process of an upgrade, and what that knows the request by.
+    Relay(mpsc::Sender<Out>, u64),
 }
 
 impl ReplyTo {
     /// The peer's connection, and what it knows the request by.
     pub fn new(to: mpsc::Sender<(u16, Reply)>, ticket: u16) -> ReplyTo {
-        ReplyTo { to, ticket }
+        ReplyTo(To::Connection(to, ticket))
+    }
+
+    /// The other process of an upgrade, and what that knows the request by.
+    pub fn relay(to: mpsc::Sender<Out>, ticket: u64) -> ReplyTo {
+        ReplyTo(To::Relay(to, ticket))
     }
 
     /// Hands over the reply.
     pub fn send(self, reply: Reply) {
-        // An error means that the connection has ended: nobody waits.
-        let _ = self.to.try_send((self.ticket, reply));
+        // An error means that the connection or the other process has ended: nobody waits.
+        match self.0 {
+            To::Connection(to, ticket) => drop(to.try_send((ticket, reply))),
+            To::Relay(to, ticket) => {
+                drop(to.try_send(Message::Reply { ticket, reply: reply.into() }.into()));
+            }
+        }
     }
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -3,9 +3,12 @@
 use crate::admin::{self, Desk};
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError, Peers};
-use crate::engine::input::{self, Input};
+use crate::engine::input::{self, Input, Peer};
 use crate::engine::{self, Engine, Idle, Ways};
 use crate::fastcgi::connection::{Front, accept};
+use crate::upgrade::link::{self, Place};
+use crate::upgrade::wire::Message;
+use crate::upgrade::{self, Earlier, Keeper};
 use crate::{database, directory, interpreter, log};
 use jaspershunt_operator::File;
 use std::io;
@@ -17,6 +20,16 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+/// From SIGTERM to the kill of a process that a later start took over from: the longest deadline, or this if that is longer,
+const RETIRE_WITHIN: Duration = Duration::from_secs(3);
+/// and this. The operators' figures.
+const RETIRE_SLACK: Duration = Duration::from_millis(700);
+/// It ends so long before the kill whatever is left. Ours, as the next two: a tenth of a second for each step.
+const RETIRE_AHEAD: Duration = Duration::from_millis(200);
+/// What is owed is failed so long before that.
+const GIVE_UP_AHEAD: Duration = Duration::from_millis(100);
+/// Connections that are never quiet are read no more so long before: answers take less than this, but for a few.
+const LAST_CALL: Duration = Duration::from_secs(1);
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 /// Beyond the grace the listener stays open so long, since a request that came just within it may be on its way.
@@ -74,12 +87,16 @@
     pub admin: Option<TcpListener>,
     /// What operators are shown.
     pub desk: Rc<Desk>,
+    /// By a later start of the program, if one can take over: where its socket lies.
+    pub upgrade: Option<Place>,
+    /// The earlier start that there was.
+    pub earlier: Earlier,
 }
 
 impl Doors {
     /// Balancers alone can call.
     pub fn new(listener: TcpListener) -> Doors {
-        Doors { listener, admin: None, desk: Rc::default() }
+        Doors { listener, admin: None, desk: Rc::default(), upgrade: None, earlier: Earlier::None }
     }
 }
 
@@ -93,7 +110,8 @@
     mut operator: watch::Receiver<Option<Rc<File>>>,
     leave: impl Future<Output = ()>,
 ) {
-    let Doors { listener, admin, desk } = doors;
+    let Doors { listener, admin, desk, upgrade, earlier } = doors;
+    let listener = Rc::new(listener);
     let (engine_in, engine_out) = mpsc::channel(input::QUEUE);
     let (commands_in, commands_out) = mpsc::channel(interpreter::QUEUE);
     let (calls_in, calls_out) = mpsc::channel(engine::CALLS);
@@ -127,10 +145,56 @@
     let listens = listener.local_addr().unwrap_or(config.listen);
     let front = Rc::new(Front::new(&config, engine_in.clone(), idle_out));
     let (close, closed) = oneshot::channel::<()>();
-    let accepting = spawn_local(accept(listener, front.clone(), async {
+    let mut taking = None;
+    let mut earlier = earlier;
+    loop {
+        let found = match earlier {
+            Earlier::None => break,
+            Earlier::Silent => {
+                let _ = engine_in.send(Input::Peer(Peer::Beside)).await;
+                break;
+            }
+            Earlier::Found(found) => found,
+        };
+        // Until the interpreter is up and the table of keys is here, the earlier start serves.
+        let (out, outs) = mpsc::channel(link::QUEUE);
+        let told = Peer::Earlier { to: out.clone(), lameduck: found.lameduck };
+        let _ = engine_in.send(Input::Peer(told)).await;
+        let (owns, now_owns) = oneshot::channel();
+        let task = upgrade::take_over(*found, outs, out.clone(), engine_in.clone(), front.clone(), owns);
+        let task = spawn_local(task);
+        if now_owns.await.is_ok() {
+            taking = Some((task, out));
+            break;
+        }
+        // Two that each serve on their own would run a key twice: only when nobody is there any more, this one serves.
+        let Some(place) = &upgrade else { break };
+        earlier = match upgrade::find(place, &config.name, config.listen).await {
+            Earlier::None => Earlier::Silent,
+            other => other,
+        };
+    }
+    let accepting = spawn_local(accept(listener.clone(), front.clone(), async {
         let _ = closed.await;
     }));
+    let taking = taking.map(|(task, out)| {
+        // An error means that the earlier start has gone.
+        let _ = out.try_send(Message::Ready.into());
+        task
+    });
     desk.listens.set(true);
+    if let Some(place) = upgrade {
+        let keeper = Keeper {
+            place,
+            name: config.name.clone(),
+            listen: config.listen,
+            listener,
+            engine: engine_in.clone(),
+            front: front.clone(),
+            idle: idle_in.clone(),
+        };
+        spawn_local(keeper.keep(taking));
+    }
     if let Some(admin) = admin {
         let at = admin.local_addr().map_or(String::new(), |at| format!(" on {at}"));
         log!("{} answers operators{at}", config.name);
@@ -141,6 +205,9 @@
     leave.await;
     let told = Instant::now();
     desk.leaves.set(true);
+    if idle_in.borrow().passing {
+        return retire(&config, told, &engine_in, &front, &idle_in, &mut owed).await;
+    }
     let end = told + config.stop.saturating_sub(EXIT_AHEAD);
     let _ = engine_in.send(Input::Leave).await;
     let grace = Duration::from_secs_f64(config.settings.drain_grace.min(1e6));
@@ -149,7 +216,7 @@
     drop(close);
     let _ = timeout_at(end, accepting).await;
     let _ = timeout_at(end, quiet(&mut owed)).await;
-    idle_in.send_replace(Idle { limit: Duration::ZERO, standing: true });
+    idle_in.send_modify(|idle| (idle.limit, idle.standing) = (Duration::ZERO, true));
     let all_ended = async {
         while front.open.get() > 0 {
             front.ended.notified().await;
@@ -159,6 +226,43 @@
     log!("{} leaves{}", config.name, if left_over { " with connections open" } else { "" });
 }
 
+/// Ends what is in hand while a later start serves. This is no notice to drain: health stays good, and what still comes
+/// goes to the later start.
+async fn retire(
+    config: &Config,
+    told: Instant,
+    engine: &mpsc::Sender<Input>,
+    front: &Front,
+    idle: &watch::Sender<Idle>,
+    owed: &mut watch::Receiver<usize>,
+) {
+    let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+    let end = told + Duration::from_secs_f64(longest).min(RETIRE_WITHIN) + RETIRE_SLACK - RETIRE_AHEAD;
+    log!("{} leaves the work to a later start", config.name);
+    let done = async {
+        loop {
+            let ended = front.ended.notified();
+            if front.open.get() == 0 && *owed.borrow_and_update() == 0 {
+                return;
+            }
+            tokio::select! {
+                () = ended => {}
+                _ = owed.changed() => {}
+            }
+        }
+    };
+    let mut done = std::pin::pin!(done);
+    if timeout_at(end - LAST_CALL, &mut done).await.is_err() {
+        idle.send_modify(|idle| idle.last_call = true);
+        if timeout_at(end - GIVE_UP_AHEAD, &mut done).await.is_err() {
+            let _ = engine.send(Input::Peer(Peer::GiveUp)).await;
+            let _ = timeout_at(end, &mut done).await;
+        }
+    }
+    front.farewell(end).await;
+    log!("{} ends, {} connections are left", config.name, front.open.get());
+}
+
 /// Waits until nothing has been owed for a while.
 async fn quiet(owed: &mut watch::Receiver<usize>) {
     loop {
--- /dev/null
+++ b/crates/node/src/upgrade/wire/tests.rs
@@ -0,0 +1,106 @@
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn fixed() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() }
+}
+
+fn all() -> Vec<Message> {
+    let entry = |state| Entry { key: "k".into(), print: u64::MAX, until: 1.76e9, state };
+    let work = Work {
+        uid: "0123456789abcdef".into(),
+        class: 1,
+        tenant: Some(0),
+        caller: CallerId(4),
+        arrived: Some(1.76e9),
+        resent: true,
+        cost_hint: None,
+        held_kb: 24.5,
+        rank: 0.5,
+        key: Some("k".into()),
+        body: vec![7; 2048],
+    };
+    vec![
+        Message::Hello { version: VERSION, name: "n3".to_string(), listen: "127.0.0.1:1".to_string() },
+        Message::Welcome { lameduck: true },
+        Message::NotNow { why: "no".to_string() },
+        Message::Begin,
+        Message::Table(vec![
+            entry(State::InHand),
+            entry(State::Done(vec![1; 4096].into())),
+            entry(State::Failed),
+        ]),
+        Message::Yours,
+        Message::Ready,
+        Message::Work { ticket: 9, work: Relayed::new(work, "sign", Some("acme")) },
+        Message::Gone { ticket: 9 },
+        Message::Reply {
+            ticket: 9,
+            reply: Reply::new(Answer::Served(vec![2; 4096].into()), Some(1.5)).into(),
+        },
+        Message::Ended(entry(State::NeverRan)),
+        Message::Connection { input: vec![3; 65_544], used: true },
+        Message::Lameduck { on: false },
+        Message::Farewell,
+    ]
+}
+
+#[test]
+fn messages_read_alike_wherever_they_are_cut() {
+    let mut bytes = Vec::new();
+    assert!(all().iter().all(|message| write(message, &mut bytes)));
+    for step in [1, 7, 4099] {
+        let (mut input, mut read) = (Vec::new(), Vec::new());
+        for piece in bytes.chunks(step) {
+            input.extend(piece);
+            while let Some(message) = next(&mut input).unwrap() {
+                read.push(message);
+            }
+        }
+        assert_eq!(read, all());
+        assert!(input.is_empty());
+    }
+}
+
+#[test]
+fn the_largest_piece_of_the_table_fits_and_what_is_longer_is_not_said() {
+    let entry =
+        Entry { key: "k".repeat(128).into(), print: 1, until: 2.0, state: State::Done(vec![0; 4096].into()) };
+    let mut bytes = Vec::new();
+    assert!(write(&Message::Table(vec![entry.clone(); PIECE]), &mut bytes));
+    let before = bytes.len();
+    assert!(!write(&Message::Table(vec![entry; 4 * PIECE]), &mut bytes));
+    assert_eq!(bytes.len(), before);
+    // A length that makes no sense is refused before anything is read for it.
+    assert_eq!(next(&mut u32::MAX.to_le_bytes().to_vec()), Err(NoMessage));
+}
+
+#[test]
+fn a_try_is_the_same_on_the_other_side_and_none_where_its_names_are_not_known() {
+    let Some(Message::Work { work, .. }) = all().into_iter().find(|m| matches!(m, Message::Work { .. }))
+    else {
+        panic!("no try among the messages")
+    };
+    let there = work
+        .clone()
+        .work(|name| (name == "sign").then_some(5), |name| (name == "acme").then_some(6))
+        .unwrap();
+    assert_eq!(
+        (there.class, there.tenant, &*there.uid, there.body.len()),
+        (5, Some(6), "0123456789abcdef", 2048)
+    );
+    assert_eq!(work.clone().work(|_| None, |_| Some(0)), None);
+    assert_eq!(work.work(|_| Some(0), |_| None), None);
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn garbage_is_refused_or_waited_for_within_the_bound(bytes in proptest::collection::vec(any::<u8>(), 0..600)) {
+        let mut input = bytes.clone();
+        while let Ok(Some(_)) = next(&mut input) {}
+        prop_assert!(input.len() <= bytes.len());
+    }
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -239,7 +239,7 @@
         let (operators, operator) = watch::channel(None);
         let (operators_at, admin) = listener().await;
         let desk = Rc::new(Desk::default());
-        let doors = Doors { listener: front, admin: Some(operators_at), desk: desk.clone() };
+        let doors = Doors { admin: Some(operators_at), desk: desk.clone(), ..Doors::new(front) };
         let run = server::run(config, Clock::System, doors, peers, operator, async {
             let _ = told.await;
         });
--- a/crates/node/tests/nodo.rs
+++ b/crates/node/tests/nodo.rs
@@ -279,7 +279,7 @@
         let (engine, inputs) = mpsc::channel(99);
         let (_idle, idle) = watch::channel(Idle::default());
         let front = Rc::new(Front::new(&config::read(&text, |_| None).unwrap(), engine, idle));
-        spawn_local(accept(socket, front.clone(), std::future::pending()));
+        spawn_local(accept(Rc::new(socket), front.clone(), std::future::pending()));
         Alone { front, address, inputs, _idle }
     }
 
--- a/crates/stand-ins/src/directory.rs
+++ b/crates/stand-ins/src/directory.rs
@@ -49,6 +49,11 @@
         self.address
     }
 
+    /// All modes that were reported, in order.
+    pub fn modes(&self) -> Vec<String> {
+        self.reports.borrow().iter().map(|(_, mode)| mode.clone()).collect()
+    }
+
     /// The last mode that was reported.
     pub fn mode(&self) -> Option<String> {
         self.reports.borrow().last().map(|(_, mode)| mode.clone())
