Take up changed settings at SIGHUP, whole or not at all, while requests are open

Need: classes come and go at SIGHUP; the nodo ignored `settings` until a restart, and took files that lacked keys.

Classes keep places; what is new or changed gets a place of its own, so that what is open keeps deadline and repeat rule. Not taken: a second module for what is open, classes known by name throughout.

Also: both processes of an upgrade keep memory, crowd and descriptors together within the limits.

--- a/crates/capture/src/minimise.rs
+++ b/crates/capture/src/minimise.rs
@@ -17,7 +17,7 @@
         | Event::CallWanted { id }
         | Event::CallEnded { id, .. }
         | Event::Withdrawn { id } => Some(*id),
-        Event::Leave { .. } | Event::Woke { .. } => None,
+        Event::Leave { .. } | Event::Woke { .. } | Event::Settings(_) => None,
     }
 }
 
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod line;
 
+use crate::config::Facts;
 use crate::counts::Counts;
 use crate::log;
 use line::{Answer, Call, MAX_LINE, NoCall};
@@ -41,6 +42,13 @@
         /// Told once it is so.
         done: oneshot::Sender<()>,
     },
+    /// Take up settings that were read anew.
+    Settings {
+        /// The settings and their names.
+        facts: Rc<Facts>,
+        /// Told whether they were taken, or why not.
+        done: oneshot::Sender<Result<(), String>>,
+    },
 }
 
 /// What operators are shown.
@@ -54,6 +62,8 @@
     pub listens: Cell<bool>,
     /// The nodo was told to leave.
     pub leaves: Cell<bool>,
+    /// Balancers' connections that are open.
+    pub connections: Rc<Cell<usize>>,
 }
 
 impl Desk {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -29,7 +29,7 @@
 const OPERATOR_KEPT_PART: usize = 4;
 /// Descriptors for what is not a balancer's connection: standard streams, the runtime, the listener, the
 /// interpreter, the directory, and the calls to the database.
-const OTHER_SOCKETS: usize = 96;
+pub const OTHER_SOCKETS: usize = 96;
 /// The most of those that calls to the database take.
 const CALL_SOCKETS: usize = 64;
 
@@ -56,6 +56,17 @@
     pub seed: u64,
     /// The operator's own file, where there is one.
     pub operator: Option<Rc<File>>,
+    /// The platform's file as it stands.
+    file: Rc<JsonValue>,
+}
+
+/// What the module is told, with the names in it. May change while a nodo runs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Facts {
+    /// The settings. Classes and tenants have places in it that names may not lead to any more.
+    pub settings: Settings,
+    /// The names that lead there.
+    pub names: Names,
 }
 
 /// Where those are that a nodo works with. These addresses may change while it runs; all else stays.
@@ -177,6 +188,7 @@
         },
         seed: seed(object),
         operator: None,
+        file: Rc::new(value.clone()),
     })
 }
 
@@ -229,8 +241,25 @@
         wrong
     }
 
-    /// The keys, other than those of the peers, in which a configuration that was read anew differs from this one. A
-    /// nodo that runs keeps to what it started with there.
+    /// Whether a file that was read anew can follow this one. A file that lacks a key that this one has was most likely cut
+    /// short or put together wrongly, also where a default would do at a start: nothing of it is taken.
+    ///
+    /// # Errors
+    /// The first key that is missing.
+    pub fn followed_by(&self, new: &Config) -> Result<(), ConfigError> {
+        match lacks(&self.file, &new.file, "") {
+            Some(key) => wrong(&key, "is missing, and the file in force has it"),
+            None => Ok(()),
+        }
+    }
+
+    /// What the module is told.
+    pub fn facts(&self) -> Facts {
+        Facts { settings: self.settings.clone(), names: self.names.clone() }
+    }
+
+    /// The keys, other than those of the peers and the settings, in which a configuration that was read anew differs from
+    /// this one. A nodo that runs keeps to what it started with there.
     pub fn kept_keys(&self, new: &Config) -> Vec<&'static str> {
         let keys = [
             ("name", self.name == new.name),
@@ -238,12 +267,42 @@
             ("admin", self.admin == new.admin),
             ("stop_ms", self.stop == new.stop),
             ("limits", self.bounds == new.bounds),
-            ("settings", self.settings == new.settings && self.names == new.names),
         ];
         keys.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
     }
 }
 
+/// The way to the first key, by name, that an object has and one that is to take its place lacks. Objects in a list are
+/// all of one kind: each new one needs what all the old ones have.
+fn lacks(old: &JsonValue, new: &JsonValue, path: &str) -> Option<String> {
+    match (old, new) {
+        (JsonValue::Object(old), JsonValue::Object(new)) => {
+            let mut keys: Vec<_> = old.iter().collect();
+            keys.sort_unstable_by_key(|(key, _)| *key);
+            keys.into_iter().find_map(|(key, value)| {
+                let way = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                match new.get(key) {
+                    Some(other) => lacks(value, other, &way),
+                    None => Some(way),
+                }
+            })
+        }
+        (JsonValue::Array(old), JsonValue::Array(new)) => {
+            let objects = old.iter().map(|value| value.get::<HashMap<String, JsonValue>>());
+            let objects: Vec<_> = objects.collect::<Option<_>>()?;
+            let common = objects.first()?.keys().filter(|key| objects.iter().all(|o| o.contains_key(*key)));
+            let mut common: Vec<&String> = common.collect();
+            common.sort_unstable();
+            new.iter().enumerate().find_map(|(n, value)| {
+                let value: &HashMap<String, JsonValue> = value.get()?;
+                let key = common.iter().find(|key| !value.contains_key(**key))?;
+                Some(format!("{path}[{n}].{key}"))
+            })
+        }
+        _ => None,
+    }
+}
+
 fn text_of(object: &HashMap<String, JsonValue>, key: &str) -> Result<String, ConfigError> {
     match object.get(key) {
         Some(JsonValue::String(text)) => Ok(text.clone()),
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -6,7 +6,7 @@
 
 use crate::admin::{Desk, Order};
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, Facts};
 use crate::counts::Ended;
 use crate::database;
 use crate::directory::Mode;
@@ -15,7 +15,7 @@
 use crate::log;
 use crate::request::{Answer, Key, Label, Reply, ReplyTo, Work};
 use jaspershunt::{Action, Controller, Event, Gauges, Halt, Outcome, Repeat, Request, RequestId, Settings};
-use jaspershunt_settings::{Names, gauge_mut};
+use jaspershunt_settings::{Names, gauge_mut, merge};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,6 +85,8 @@
     pub owed: watch::Sender<usize>,
     /// What operators are shown.
     pub desk: Rc<Desk>,
+    /// The settings in force, for those who read requests.
+    pub facts: watch::Sender<Rc<Facts>>,
 }
 
 /// Where the run of a request is.
@@ -242,9 +244,34 @@
                 // An error means that the caller did not wait.
                 let _ = done.send(());
             }
+            Order::Settings { facts, done } => {
+                let _ = done.send(self.take_up_settings(&facts));
+                // The module hears of it in a step of its own, before any request that came with it.
+                self.round([]);
+            }
         }
     }
 
+    /// Takes up settings that were read anew. Requests that are open keep what they came with, in its place.
+    fn take_up_settings(&mut self, facts: &Facts) -> Result<(), String> {
+        if self.several.is_some() {
+            return Err(
+                "settings change with a restart only where the operator's file names dependencies".into()
+            );
+        }
+        let open = |place| self.requests.values().any(|entry| entry.class == place);
+        // One that was named until now may be that of a request which was read and is not here yet.
+        let free = |place| !self.names.uses(place) && !open(place);
+        let (settings, names) = merge(&self.settings, facts.settings.clone(), facts.names.clone(), free)
+            .map_err(|problem| format!("settings.{problem}"))?;
+        self.classes = settings.classes.iter().map(|class| interpreter::quoted(&class.name)).collect();
+        self.ways.desk.counts.borrow_mut().name(names.classes());
+        (self.settings, self.names) = (settings.clone(), names.clone());
+        self.events.push(Event::Settings(Box::new(self.share())));
+        self.ways.facts.send_replace(Rc::new(Facts { settings, names }));
+        Ok(())
+    }
+
     fn set_lameduck(&mut self, on: bool) {
         if on != self.lameduck {
             self.lameduck = on;
@@ -285,6 +312,7 @@
                 self.carry_out(action);
             }
         }
+        self.tell_load();
         let owed = self.in_hand();
         self.ways.owed.send_if_modified(|told| std::mem::replace(told, owed) != owed);
     }
@@ -558,8 +586,8 @@
         if self.module.is_some() {
             return;
         }
-        let settings = Settings { cold, ..self.settings.clone() };
-        let Ok(mut module) = Controller::new(settings) else { return };
+        self.settings.cold = cold;
+        let Ok(mut module) = Controller::new(self.settings.clone()) else { return };
         let mut actions = Vec::new();
         module.step(self.now - age.min(CLOCK_START), &[], &mut actions);
         self.module = Some(module);
--- a/crates/node/src/engine/input.rs
+++ b/crates/node/src/engine/input.rs
@@ -3,7 +3,7 @@
 
 use crate::request::{ReplyTo, Work};
 use crate::upgrade::link::Out;
-use crate::upgrade::wire::{Entry, Relayed, Told};
+use crate::upgrade::wire::{Entry, Load, Relayed, Told};
 use jaspershunt::{Outcome, RequestId};
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -122,6 +122,8 @@
         /// The try.
         ticket: u64,
     },
+    /// What the earlier start still takes of what both share.
+    Load(Load),
     /// What became of a key that the earlier start had in hand.
     Ended(Entry),
     /// Operators send clients away, or take them again.
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -54,6 +54,7 @@
             idle,
             owed,
             desk: Rc::default(),
+            facts: watch::channel(Rc::new(config.facts())).0,
         };
         let engine = Engine::new(&config, Clock::runtime(UNIX), ways);
         let began = Instant::now();
--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -1,21 +1,26 @@
 //! The engine's side of an upgrade: gives the keys away, sends on what is new, and takes over what an earlier start had.
 //! Who owns the keys is decided in [`crate::upgrade::claims`].
 
-use super::{Engine, Entry, WINDOW_SLACK};
+use super::{Engine, Entry, Place, WINDOW_SLACK};
+use crate::config::OTHER_SOCKETS;
 use crate::engine::input::Peer;
 use crate::keys::Run;
 use crate::log;
 use crate::request::{Answer, Key, Reply, ReplyTo, Work};
 use crate::upgrade::claims::{Claims, Goes, Known, Try};
 use crate::upgrade::link::Out;
-use crate::upgrade::wire::{self, Message, PIECE, Relayed, State};
-use jaspershunt::{Class, Repeat, RequestId, Settings};
+use crate::upgrade::wire::{self, Load, Message, PIECE, Relayed, State};
+use jaspershunt::{Class, Event, Repeat, RequestId, Settings};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
 /// Tries that may be out at the later start at once; more are refused.
 const RELAYS: usize = 4096;
+/// Seconds between two words on what this process takes. Ours: less than the 0.1 s after which memory is counted.
+const LOAD_EVERY: f64 = 0.05;
+/// Requests on the cores, for each core, that are left to a start in any case, so that it works at all.
+const LEAST_CROWD: f64 = 1.5;
 /// Requests of the other process have ids of their own here: its tries, and those of the keys that it had in hand.
 const RELAYED: u64 = 1 << 61;
 const ADOPTED: u64 = 1 << 62;
@@ -31,6 +36,10 @@
     adopted: u64,
     /// All keys were taken over from it.
     owns: bool,
+    /// What it takes of what both share, as was last told or heard.
+    load: Load,
+    /// When it is told again.
+    load_due: f64,
 }
 
 impl Partner {
@@ -75,6 +84,7 @@
                 log!("upgrade: {} keys were taken over", self.partner.adopted);
             }
             Peer::Ended(entry) => self.adopt(entry),
+            Peer::Load(load) => self.make_way(load),
             Peer::Work { ticket, work, to } => {
                 let id = RequestId(RELAYED + ticket);
                 let reply = ReplyTo::relay(to, ticket);
@@ -115,7 +125,8 @@
             let rest = all.split_off(all.len().min(PIECE));
             said = self.partner.say(Message::Table(std::mem::replace(&mut all, rest)));
         }
-        if !said || !self.partner.say(Message::Yours) {
+        let load = self.load();
+        if !said || !self.partner.say(Message::Load(load)) || !self.partner.say(Message::Yours) {
             // The link ends as the way there is dropped with it; until then it has been told of nothing that is its own.
             log!(ERROR, "upgrade: {count} keys are too many for the link; they stay here");
             self.partner = Partner::default();
@@ -125,6 +136,27 @@
         log!("upgrade: {count} keys are the later start's, {} requests are ended here", self.requests.len());
     }
 
+    /// What this process takes of what both share.
+    fn load(&self) -> Load {
+        let kb: f64 = self.requests.values().map(|entry| entry.held_kb).sum();
+        let running = self.requests.values().filter(|entry| matches!(entry.place, Place::Running)).count();
+        let descriptors = self.ways.desk.connections.get() + OTHER_SOCKETS;
+        Load { kb: kb * self.settings.run_factor, running: running as u32, descriptors: descriptors as u32 }
+    }
+
+    /// Tells the later start now and then how much is left for it.
+    pub(super) fn tell_load(&mut self) {
+        if self.claims != Claims::Theirs || self.now < self.partner.load_due {
+            return;
+        }
+        self.partner.load_due = self.now + LOAD_EVERY;
+        let load = self.load();
+        if load != self.partner.load {
+            self.partner.load = load;
+            self.partner.say(Message::Load(load));
+        }
+    }
+
     /// Where a try goes, as far as keys have a say.
     pub(super) fn place(&mut self, work: &Work) -> Goes {
         let known = match &work.key {
@@ -222,6 +254,27 @@
         }
     }
 
+    /// Takes in how much the earlier start still takes, and has the module keep to the rest.
+    fn make_way(&mut self, load: Load) {
+        self.partner.load = load;
+        self.events.push(Event::Settings(Box::new(self.share())));
+    }
+
+    /// The settings, with this process's part of what two share: the rules count memory and the crowd on the cores for both
+    /// together. Calls are left as they are: the module keeps their mean under half of its part.
+    pub(super) fn share(&self) -> Settings {
+        let (load, set) = (self.partner.load, &self.settings);
+        if self.claims == Claims::Theirs || load == Load::default() {
+            return set.clone();
+        }
+        let crowd = set.crowd_multiple - f64::from(load.running) / f64::from(set.cores);
+        Settings {
+            memory_kb: (set.memory_kb - load.kb).max(0.0),
+            crowd_multiple: crowd.max(LEAST_CROWD.min(set.crowd_multiple)),
+            ..set.clone()
+        }
+    }
+
     // Both.
 
     /// The other process is gone, or beyond reach. What it had in hand may have run; and, unless it ended of itself, what
@@ -235,6 +288,9 @@
         if !ended && (self.claims == Claims::Theirs || partner.owns) {
             self.claims.break_off(self.now, longest_window(&self.settings));
         }
+        if partner.load != Load::default() {
+            self.events.push(Event::Settings(Box::new(self.share())));
+        }
         for key in self.keys.fail_from(RequestId(ADOPTED)) {
             self.serve_followers(&key, None);
         }
--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -3,7 +3,7 @@
 
 use super::records::{LostFraming, Record, next_record, pairs, put_reply};
 use super::requests::{Budget, MAX_OPEN, Requests, Step, Whole};
-use crate::config::Config;
+use crate::config::{Config, Facts};
 use crate::engine::Idle;
 use crate::engine::input::Input;
 use crate::log;
@@ -12,8 +12,7 @@
 use crate::socket::silent;
 use crate::upgrade::link::Out;
 use crate::upgrade::wire::Message;
-use jaspershunt::{RequestId, Settings};
-use jaspershunt_settings::Names;
+use jaspershunt::RequestId;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -48,10 +47,8 @@
 pub struct Front {
     /// The way to the engine.
     pub engine: mpsc::Sender<Input>,
-    /// What the module was told, for the classes.
-    pub settings: Settings,
-    /// The names in the settings.
-    pub names: Names,
+    /// The settings in force, for the classes and names.
+    pub facts: watch::Receiver<Rc<Facts>>,
     /// Bytes of requests, from their reading to their answer.
     pub held: Budget,
     /// Bytes of answers that are not written.
@@ -61,7 +58,9 @@
     /// How long connections may be idle.
     pub idle: watch::Receiver<Idle>,
     /// Connections open.
-    pub open: Cell<usize>,
+    pub open: Rc<Cell<usize>>,
+    /// Descriptors that the other process of an upgrade holds of those for connections.
+    other: Cell<usize>,
     /// What is known of each of them from outside, by the order in which they came.
     slots: RefCell<BTreeMap<u64, Rc<Slot>>>,
     /// Told of each connection that ends, or that was asked to and cannot.
@@ -99,7 +98,7 @@
             }
         }
         // Descriptors are left for everything else: the rest waits until a connection has ended.
-        if front.open.get() >= front.most {
+        if front.open.get() + front.other.get() >= front.most {
             let ended = front.ended.notified();
             front.make_room();
             tokio::select! {
@@ -152,16 +151,22 @@
 
 impl Front {
     /// No connection is open yet.
-    pub fn new(config: &Config, engine: mpsc::Sender<Input>, idle: watch::Receiver<Idle>) -> Front {
+    pub fn new(
+        config: &Config,
+        engine: mpsc::Sender<Input>,
+        idle: watch::Receiver<Idle>,
+        facts: watch::Receiver<Rc<Facts>>,
+        open: Rc<Cell<usize>>,
+    ) -> Front {
         Front {
             engine,
-            settings: config.settings.clone(),
-            names: config.names.clone(),
+            facts,
             held: Budget::new(config.bounds.requests),
             unwritten: Budget::new(config.bounds.unwritten),
             most: config.bounds.connections,
             idle,
-            open: Cell::new(0),
+            open,
+            other: Cell::new(0),
             slots: RefCell::default(),
             ended: Notify::new(),
             faults: RefCell::new(Limiter::new(1)),
@@ -185,6 +190,12 @@
         }
     }
 
+    /// So many of the descriptors for connections are the other process's.
+    pub fn leave_to_other(&self, descriptors: usize) {
+        self.other.set(descriptors);
+        self.ended.notify_waiters();
+    }
+
     /// Serves a connection that another process had, with what that had read of it.
     pub fn take_over(self: &Rc<Front>, stream: TcpStream, peer: SocketAddr, input: Vec<u8>, used: bool) {
         start(stream, peer, self, input, used);
@@ -602,5 +613,6 @@
     };
     let path = param("SCRIPT_NAME").unwrap_or_default();
     let method = param("REQUEST_METHOD").unwrap_or_default();
-    request::read(path, method, field, body, &front.settings, &front.names)
+    let facts = front.facts.borrow();
+    request::read(path, method, field, body, &facts.settings, &facts.names)
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,7 @@
 //! One nodo: serves balancers until it is told to leave; and what an operator needs beside it.
 
 use clap::Parser;
-use jaspershunt_node::admin::Desk;
+use jaspershunt_node::admin::{self, Desk};
 use jaspershunt_node::cli::{self, Cli, Command, Serve};
 use jaspershunt_node::clock::Clock;
 use jaspershunt_node::config::{self, Config};
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
 fn variable(name: &str) -> Option<String> {
@@ -75,7 +75,9 @@
                 _ => server::listen("listen", config.listen, config.admin.is_some())?,
             };
             let desk = Rc::new(Desk::default());
-            let doors = Doors { listener, admin, desk: desk.clone(), upgrade, earlier };
+            let orders = mpsc::channel(admin::QUEUE);
+            let to_engine = orders.0.clone();
+            let doors = Doors { listener, admin, desk: desk.clone(), orders, upgrade, earlier };
             let leave = async {
                 tokio::select! {
                     _ = terminate.recv() => {}
@@ -84,12 +86,12 @@
             };
             let (moves, peers) = watch::channel(config.peers);
             let (operators, operator) = watch::channel(None);
-            let running = config.clone();
+            let mut running = config.clone();
             let path = how.operator.clone();
             let counts = desk;
             spawn_local(async move {
                 while hangup.recv().await.is_some() {
-                    server::reload(&running, config::load(variable), &moves, &counts);
+                    server::reload(&mut running, config::load(variable), &moves, &to_engine, &counts).await;
                     let Some(path) = &path else { continue };
                     let read = jaspershunt_operator::load(path).map_err(|problems| one_line(problems.iter()));
                     let fits = read.and_then(|file| match running.against(&file) {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,6 +1,6 @@
 //! Puts the parts together, and takes them apart again when the nodo leaves.
 
-use crate::admin::{self, Desk};
+use crate::admin::{self, Desk, Order};
 use crate::clock::Clock;
 use crate::config::{Config, ConfigError, Peers};
 use crate::engine::input::{self, Input, Peer};
@@ -55,28 +55,51 @@
     open().map_err(|e| io::Error::new(e.kind(), format!("{key}: cannot listen on {at}: {e}")))
 }
 
-/// Takes up what may change in a nodo that runs, from a configuration that was read anew. One that cannot be used
-/// changes nothing.
-pub fn reload(
-    running: &Config,
+/// Takes up what may change in a nodo that runs, from a configuration that was read anew, which is then the one in force.
+/// One that cannot be used changes nothing: it is taken whole or not at all.
+pub async fn reload(
+    running: &mut Config,
     read: Result<Config, ConfigError>,
     moves: &watch::Sender<Peers>,
+    orders: &mpsc::Sender<Order>,
     desk: &Desk,
 ) {
-    desk.counts.borrow_mut().configuration(read.is_ok());
-    let new = match read {
-        Ok(new) => new,
+    let taken = async {
+        let new = read.map_err(|e| e.to_string())?;
+        running.followed_by(&new).map_err(|e| e.to_string())?;
+        let settings = new.facts() != running.facts();
+        if settings {
+            let (done, taken) = oneshot::channel();
+            let order = Order::Settings { facts: Rc::new(new.facts()), done };
+            let gone = || "the nodo has ended its work".to_string();
+            orders.send(order).await.map_err(|_| gone())?;
+            taken.await.map_err(|_| gone())??;
+        }
+        Ok::<_, String>((new, settings))
+    };
+    let taken = taken.await;
+    desk.counts.borrow_mut().configuration(taken.is_ok());
+    let (new, settings) = match taken {
+        Ok(taken) => taken,
         Err(e) => return log!(WARN, "configuration: {e}; the one before stays in force"),
     };
     let moved = moves.send_if_modified(|peers| std::mem::replace(peers, new.peers) != new.peers);
     let kept = running.kept_keys(&new);
-    let what = if moved { "new addresses are in use" } else { "no address has changed" };
+    let what = match (moved, settings) {
+        (true, true) => "new addresses and settings are in use",
+        (true, false) => "new addresses are in use",
+        (false, true) => "new settings are in use",
+        (false, false) => "neither addresses nor settings have changed",
+    };
     let ignored = if kept.is_empty() {
         String::new()
     } else {
         format!("; ignored until a restart: {}", kept.join(", "))
     };
     log!("configuration read again: {what}{ignored}");
+    let operator = running.operator.take();
+    *running = new;
+    running.operator = operator;
 }
 
 /// Where a nodo is called.
@@ -87,6 +110,8 @@
     pub admin: Option<TcpListener>,
     /// What operators are shown.
     pub desk: Rc<Desk>,
+    /// What operators have the engine do.
+    pub orders: (mpsc::Sender<Order>, mpsc::Receiver<Order>),
     /// By a later start of the program, if one can take over: where its socket lies.
     pub upgrade: Option<Place>,
     /// The earlier start that there was.
@@ -96,7 +121,14 @@
 impl Doors {
     /// Balancers alone can call.
     pub fn new(listener: TcpListener) -> Doors {
-        Doors { listener, admin: None, desk: Rc::default(), upgrade: None, earlier: Earlier::None }
+        Doors {
+            listener,
+            admin: None,
+            desk: Rc::default(),
+            orders: mpsc::channel(admin::QUEUE),
+            upgrade: None,
+            earlier: Earlier::None,
+        }
     }
 }
 
@@ -110,15 +142,15 @@
     mut operator: watch::Receiver<Option<Rc<File>>>,
     leave: impl Future<Output = ()>,
 ) {
-    let Doors { listener, admin, desk, upgrade, earlier } = doors;
+    let Doors { listener, admin, desk, orders: (orders_in, orders_out), upgrade, earlier } = doors;
     let listener = Rc::new(listener);
     let (engine_in, engine_out) = mpsc::channel(input::QUEUE);
     let (commands_in, commands_out) = mpsc::channel(interpreter::QUEUE);
     let (calls_in, calls_out) = mpsc::channel(engine::CALLS);
     let (mode_in, mode_out) = watch::channel(None);
     let (idle_in, idle_out) = watch::channel(Idle::default());
+    let (facts_in, facts) = watch::channel(Rc::new(config.facts()));
     let (owed_in, mut owed) = watch::channel(0);
-    let (orders_in, orders_out) = mpsc::channel(admin::QUEUE);
     let ways = Ways {
         engine: engine_in.downgrade(),
         interpreter: commands_in,
@@ -127,6 +159,7 @@
         idle: idle_in.clone(),
         owed: owed_in,
         desk: desk.clone(),
+        facts: facts_in,
     };
     spawn_local(Engine::new(&config, clock, ways).run(engine_out, orders_out));
     spawn_local(interpreter::keep_link(peers.clone(), engine_in.clone(), commands_out));
@@ -143,7 +176,8 @@
     spawn_local(async move { directory::report(peers, &name, mode_out).await });
     // The system's choice where the port was 0.
     let listens = listener.local_addr().unwrap_or(config.listen);
-    let front = Rc::new(Front::new(&config, engine_in.clone(), idle_out));
+    let front =
+        Rc::new(Front::new(&config, engine_in.clone(), idle_out, facts.clone(), desk.connections.clone()));
     let (close, closed) = oneshot::channel::<()>();
     let mut taking = None;
     let mut earlier = earlier;
@@ -206,11 +240,12 @@
     let told = Instant::now();
     desk.leaves.set(true);
     if idle_in.borrow().passing {
-        return retire(&config, told, &engine_in, &front, &idle_in, &mut owed).await;
+        let longest = facts.borrow().settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        return retire(&config.name, longest, told, &engine_in, &front, &idle_in, &mut owed).await;
     }
     let end = told + config.stop.saturating_sub(EXIT_AHEAD);
     let _ = engine_in.send(Input::Leave).await;
-    let grace = Duration::from_secs_f64(config.settings.drain_grace.min(1e6));
+    let grace = Duration::from_secs_f64(facts.borrow().settings.drain_grace.min(1e6));
     sleep_until((told + grace + BEYOND_GRACE).min(end)).await;
     // New connections are refused from here on, which proves to balancers that nothing ran.
     drop(close);
@@ -229,16 +264,17 @@
 /// Ends what is in hand while a later start serves. This is no notice to drain: health stays good, and what still comes
 /// goes to the later start.
 async fn retire(
-    config: &Config,
+    name: &str,
+    longest: f64,
     told: Instant,
     engine: &mpsc::Sender<Input>,
     front: &Front,
     idle: &watch::Sender<Idle>,
     owed: &mut watch::Receiver<usize>,
 ) {
-    let longest = config.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-    let end = told + Duration::from_secs_f64(longest).min(RETIRE_WITHIN) + RETIRE_SLACK - RETIRE_AHEAD;
-    log!("{} leaves the work to a later start", config.name);
+    let end = told + Duration::from_secs_f64(longest.min(RETIRE_WITHIN.as_secs_f64())) + RETIRE_SLACK
+        - RETIRE_AHEAD;
+    log!("{name} leaves the work to a later start");
     let done = async {
         loop {
             let ended = front.ended.notified();
@@ -260,7 +296,7 @@
         }
     }
     front.farewell(end).await;
-    log!("{} ends, {} connections are left", config.name, front.open.get());
+    log!("{name} ends, {} connections are left", front.open.get());
 }
 
 /// Waits until nothing has been owed for a while.
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -135,6 +135,10 @@
                 }
                 (Message::Work { ticket, work }, _) => Peer::Work { ticket, work, to: out.clone() },
                 (Message::Gone { ticket }, _) => Peer::Gone { ticket },
+                (Message::Load(load), _) => {
+                    front.leave_to_other(load.descriptors as usize);
+                    Peer::Load(load)
+                }
                 (Message::Ended(entry), _) => Peer::Ended(entry),
                 (Message::Lameduck { on }, _) => Peer::Lameduck { on },
                 (Message::Connection { input, used }, Some(stream)) => {
@@ -169,6 +173,7 @@
             Peer::Broke
         }
     };
+    front.leave_to_other(0);
     let _ = engine.send(Input::Peer(over)).await;
 }
 
--- a/crates/node/src/upgrade/wire.rs
+++ b/crates/node/src/upgrade/wire.rs
@@ -72,6 +72,8 @@
         /// It brought a request that makes sense.
         used: bool,
     },
+    /// What the earlier start still takes of what both share.
+    Load(Load),
     /// Operators send clients away, or take them again.
     Lameduck {
         /// Whether they are sent away.
@@ -81,6 +83,17 @@
     Farewell,
 }
 
+/// What a process takes of what two that are one nodo share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Memory that its requests may yet take, in kilobytes: all of them as if they ran.
+    pub kb: f64,
+    /// Those that run.
+    pub running: u32,
+    /// Descriptors that it may hold.
+    pub descriptors: u32,
+}
+
 /// A key of the earlier start.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/node/src/upgrade/wire/tests.rs
+++ b/crates/node/src/upgrade/wire/tests.rs
@@ -42,6 +42,7 @@
         Message::Ended(entry(State::NeverRan)),
         Message::Connection { input: vec![3; 65_544], used: true },
         Message::Lameduck { on: false },
+        Message::Load(Load { kb: 1.5, running: 2, descriptors: 3 }),
         Message::Farewell,
     ]
 }
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -121,3 +121,119 @@
         assert!(!health(&nodo).await);
     });
 }
+
+fn tuned(nodo: &Nodo, change: impl Fn(&str) -> String) -> String {
+    let at = |listener: &tokio::net::TcpListener| listener.local_addr().unwrap().to_string();
+    let lookup = nodo.directory_at.to_string();
+    let text = config_text(&nodo.address.to_string(), &at(&nodo.interpreter), &lookup, &at(&nodo.database));
+    change(&text)
+}
+
+/// Files that cannot be used are turned down whole, each in one line that names the key; the next good one is taken.
+#[test]
+fn bad_files_change_nothing_and_a_good_one_after_them_is_taken() {
+    local(async {
+        let nodo = Nodo::start().await;
+        let without =
+            |key: &'static str| move |text: &str| text.replacen(&format!("\"{key}\":"), "\"x\":", 1);
+        let deadline = |value: &'static str| move |text: &str| text.replacen("\"deadlineS\":40", value, 1);
+        let cut = |part: usize| move |text: &str| text[..text.len() * part / 10].to_string();
+        let mut bad: Vec<(String, &str)> =
+            (0..10).map(|part| (tuned(&nodo, cut(part)), "NODE_CONFIG")).collect();
+        for key in
+            ["name", "listen", "vm", "lookup", "db", "seed", "stop_ms", "limits", "memory_mb", "settings"]
+        {
+            bad.push((tuned(&nodo, without(key)), key));
+        }
+        for key in [
+            "classes",
+            "targetS",
+            "deadlineS",
+            "semantics",
+            "windowS",
+            "worth",
+            "domain",
+            "nCores",
+            "orgs",
+            "servers",
+        ] {
+            bad.push((tuned(&nodo, without(key)), key));
+        }
+        for value in [
+            "\"deadlineS\":0",
+            "\"deadlineS\":-1",
+            "\"deadlineS\":\"40\"",
+            "\"deadlineS\":null",
+            "\"deadlineS\":1e999",
+        ] {
+            bad.push((tuned(&nodo, deadline(value)), "deadline"));
+        }
+        let mut running = nodo.config.clone();
+        let facts = running.facts();
+        let count = bad.len();
+        for (n, (text, key)) in bad.into_iter().enumerate() {
+            let read = jaspershunt_node::config::read(&text, |_| None);
+            let told = match &read {
+                Err(e) => e.to_string(),
+                Ok(new) => running.followed_by(new).expect_err(&text).to_string(),
+            };
+            assert!(told.contains(key), "{key}: {told}");
+            nodo.reload(&mut running, read).await;
+            assert!(
+                nodo.call("INFO").await.contains(&format!(r#""conf_loaded":0,"conf_invalid":{}}}"#, n + 1))
+            );
+        }
+        assert_eq!(running.facts(), facts);
+        let good = tuned(&nodo, |text| text.replacen("\"deadlineS\":40", "\"deadlineS\":30", 1));
+        nodo.reload(&mut running, jaspershunt_node::config::read(&good, |_| None)).await;
+        assert!(nodo.call("INFO").await.contains(&format!(r#""conf_loaded":1,"conf_invalid":{count}}}"#)));
+        assert_eq!(running.facts().settings.classes[0].deadline, 30.0);
+    });
+}
+
+/// A class is dropped while its requests are open, and another is added: what is open ends as it came, new requests of the
+/// dropped class are not known, those of the new one run, and a key serves its repeat under the name that it had.
+#[test]
+fn classes_come_and_go_while_their_requests_are_open() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut running = nodo.config.clone();
+        let mut peer = nodo.connect().await;
+        let key = [("HTTP_X_OPERATION_KEY", "k")];
+        peer.send(request(1, 1, "sign", &key, b"x")).await;
+        peer.send(request(2, 2, "read", &[], b"y")).await;
+        for uid in [1, 2] {
+            assert_eq!(nodo.applied().await, format!("{uid:016x}"));
+        }
+        let renamed = tuned(&nodo, |text| {
+            text.replace("\"read\"", "\"look\"").replace("\"windowS\":60", "\"windowS\":50")
+        });
+        nodo.reload(&mut running, jaspershunt_node::config::read(&renamed, |_| None)).await;
+        peer.send(request(3, 3, "read", &[], b"z")).await;
+        assert!(peer.answer().await.unwrap().1.contains("Status: 400"));
+        // Both cores are taken: it is held until one is free.
+        peer.send(request(4, 4, "look", &[], b"z")).await;
+        nodo.link.send(value(1, &format!("{:016x}", 2), "OK", "eQ==")).await;
+        let command = nodo.command().await;
+        assert!(command.contains(r#""lane":"look""#), "{command}");
+        // Its window and its class have changed; it is the same request all the same.
+        peer.send(request(5, 5, "sign", &[key[0], ("HTTP_X_RESENT", "1")], b"x")).await;
+        for (pos, uid, content) in [(2, 4, "eg=="), (3, 1, "eA==")] {
+            nodo.link.send(value(pos, &format!("{uid:016x}"), "OK", content)).await;
+        }
+        let mut served = Vec::new();
+        for _ in 0..4 {
+            let (id, text, _) = peer.answer().await.unwrap();
+            assert!(text.contains("Status: 200"), "{text}");
+            served.push((id, text.rsplit("\r\n").next().unwrap().to_string()));
+        }
+        served.sort();
+        let expected = [(1, "x"), (2, "y"), (4, "z"), (5, "x")].map(|(id, body)| (id, body.to_string()));
+        assert_eq!(served, expected);
+        let told = nodo.call("INFO").await;
+        for class in ["read", "sign", "look"] {
+            assert!(told.contains(&format!("\"{class}\":{{")), "{told}");
+        }
+        assert!(nodo.desk.counts.borrow().agree());
+    });
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,11 +6,15 @@
 use std::collections::HashMap;
 use tinyjson::JsonValue;
 
+mod merge;
+pub use merge::{MAX_PLACES, merge};
+
 /// The names that later messages use.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    /// Classes and tenants that requests may name, with their places in the settings.
+    classes: Vec<(String, usize)>,
+    tenants: Vec<(String, usize)>,
     /// The gauges, in the order in which readings are given.
     pub gauges: Vec<String>,
     /// Whether requests tell how long their caller waits.
@@ -23,15 +27,29 @@
     /// # Errors
     /// No class has this name.
     pub fn class(&self, name: &str) -> Result<usize, String> {
-        self.classes.iter().position(|n| n == name).ok_or_else(|| format!("unknown class {name:?}"))
+        place(&self.classes, name).ok_or_else(|| format!("unknown class {name:?}"))
+    }
+
+    /// Whether a class may be named that has this place.
+    pub fn uses(&self, class: usize) -> bool {
+        self.classes.iter().any(|(_, place)| *place == class)
+    }
+
+    /// The names of the classes that requests may name.
+    pub fn classes(&self) -> impl Iterator<Item = &str> {
+        self.classes.iter().map(|(name, _)| name.as_str())
     }
 
     /// The place of a tenant in the settings, if it is there.
     pub fn tenant(&self, name: &str) -> Option<usize> {
-        self.tenants.iter().position(|n| n == name)
+        place(&self.tenants, name)
     }
 }
 
+fn place(names: &[(String, usize)], name: &str) -> Option<usize> {
+    names.iter().find(|(known, _)| known == name).map(|(_, place)| *place)
+}
+
 /// Where the reading of a gauge belongs; `None` for gauges that the module has no use for.
 pub fn gauge_mut<'a>(gauges: &'a mut Gauges, name: &str) -> Option<&'a mut Option<f64>> {
     Some(match name {
@@ -151,8 +169,8 @@
     let classes = read_classes(&facts, &domain)?;
     let tenants = read_tenants(&facts)?;
     let names = Names {
-        classes: classes.iter().map(|c| c.name.clone()).collect(),
-        tenants: tenants.iter().map(|t| t.name.clone()).collect(),
+        classes: classes.iter().map(|c| c.name.clone()).zip(0..).collect(),
+        tenants: tenants.iter().map(|t| t.name.clone()).zip(0..).collect(),
         gauges: domain
             .list("meters")?
             .iter()
--- a/src/api.rs
+++ b/src/api.rs
@@ -364,6 +364,10 @@
         /// The instruments.
         gauges: Gauges,
     },
+    /// New settings are in force. Classes and tenants of the settings before keep their places, whether or not requests
+    /// still come for them, as open requests keep what they came with; further ones have places behind, or that of one
+    /// with no request left.
+    Settings(Box<Settings>),
 }
 
 /// What the module asks for. A request for which nothing is asked stays where it is.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
+mod adopt;
+
 /// s; T_m, over which finished requests are counted. The design page's, after the paper's 100 ms.
 const MEASURE_EVERY: f64 = 0.1;
 /// s; D_B, the budget of delay in the hold. The paper's: 200 ms, with full goodput up to 400 ms (section
@@ -163,6 +165,17 @@
     wake_at: f64,
 }
 
+/// The lanes of all classes and tenants, in the order of [`Controller::lane_of`].
+fn lanes(settings: &Settings) -> Vec<Lane> {
+    let mut lanes = Vec::new();
+    for (class, c) in settings.classes.iter().enumerate() {
+        for tenant in (0..settings.tenants.len()).map(Some).chain([None]) {
+            lanes.extend([c.worth, c.worth * c.late_worth].map(|worth| Lane { class, tenant, worth }));
+        }
+    }
+    lanes
+}
+
 fn smooth(mean: &mut Option<f64>, sample: f64) {
     *mean = Some(mean.map_or(sample, |m| m + CLASS_SMOOTHING * (sample - m)));
 }
@@ -174,12 +187,7 @@
     /// Settings that make no sense, with the field that is wrong.
     pub fn new(settings: Settings) -> Result<Controller, SettingsError> {
         settings.check()?;
-        let mut lanes = Vec::new();
-        for (class, c) in settings.classes.iter().enumerate() {
-            for tenant in (0..settings.tenants.len()).map(Some).chain([None]) {
-                lanes.extend([c.worth, c.worth * c.late_worth].map(|worth| Lane { class, tenant, worth }));
-            }
-        }
+        let lanes = lanes(&settings);
         let mut ledger = Ledger::default();
         ledger.lanes.resize_with(lanes.len(), Default::default);
         ledger.wanted.resize_with(lanes.len(), Default::default);
@@ -218,6 +226,7 @@
                 Event::Withdrawn { id } => self.withdrawn(*id, out),
                 Event::Leave { within } => self.leave(*within, out),
                 Event::Woke { gauges, .. } => self.meter.gauges = *gauges,
+                Event::Settings(new) => self.adopt(new),
             }
         }
         self.expire(out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -275,6 +275,21 @@
         }
     }
 
+    /// Has so many lanes from now on, with each request in the one that is given for it.
+    pub fn relane(&mut self, lanes: usize, places: &[(RequestId, usize)]) {
+        for (id, _) in places {
+            self.lift(*id);
+        }
+        self.lanes.resize_with(lanes, Default::default);
+        self.wanted.resize_with(lanes, Default::default);
+        for (id, lane) in places {
+            if let Some(l) = self.live.get_mut(id) {
+                l.lane = *lane;
+            }
+            self.enter(*id);
+        }
+    }
+
     fn queue_of(&mut self, stage: Stage, lane: usize) -> Option<&mut Queue> {
         match stage {
             Stage::Held => self.lanes.get_mut(lane),
