Cut tables of keys by bytes too, and pass on how long a peer has been waited for

Found by reading the change once more: 32 results of 48 KiB, which a line of the interpreter can carry, were over a message's length, which would have ended the link after the keys were given (upgrade/wire, PIECE alone); and a peer that sends nothing had its 2 s anew with each process that it was passed to (fastcgi/connection, waits_since), over the 3 s it is owed a word in.

Test: the link between two real processes is cut after each number of messages that an upgrade takes, by a proxy that passes descriptors on; no key runs twice or is refused after it ran.

--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -9,7 +9,7 @@
 use crate::request::{Answer, Key, Reply, ReplyTo, Work};
 use crate::upgrade::claims::{Claims, Goes, Known, Try};
 use crate::upgrade::link::Out;
-use crate::upgrade::wire::{self, Load, Message, PIECE, Relayed, State};
+use crate::upgrade::wire::{self, Load, Message, Relayed, State};
 use jaspershunt::{Class, Event, Repeat, RequestId, Settings};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -118,13 +118,9 @@
             };
             wire::Entry { key: key.clone(), print, until: until + epoch, state }
         });
-        let mut all = Vec::from_iter(entries);
+        let all = Vec::from_iter(entries);
         let count = all.len();
-        let mut said = true;
-        while !all.is_empty() && said {
-            let rest = all.split_off(all.len().min(PIECE));
-            said = self.partner.say(Message::Table(std::mem::replace(&mut all, rest)));
-        }
+        let said = wire::pieces(all).into_iter().all(|piece| self.partner.say(Message::Table(piece)));
         let load = self.load();
         if !said || !self.partner.say(Message::Load(load)) || !self.partner.say(Message::Yours) {
             // The link ends as the way there is dropped with it; until then it has been told of nothing that is its own.
--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -109,7 +109,7 @@
         tokio::select! {
             biased;
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => start(stream, peer, &front, Vec::new(), false),
+                Ok((stream, peer)) => start(stream, peer, &front, Came::default()),
                 Err(e) => {
                     log!(WARN, "cannot accept a connection: {e}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
@@ -123,17 +123,27 @@
     // looks at its sockets before it takes this up again.
     tokio::task::yield_now().await;
     while let Ok(Ok((stream, peer))) = timeout_at(Instant::now(), listener.accept()).await {
-        start(stream, peer, &front, Vec::new(), false);
+        start(stream, peer, &front, Came::default());
     }
 }
 
-/// Serves a connection, of which `input` was read already.
-fn start(stream: TcpStream, peer: SocketAddr, front: &Rc<Front>, input: Vec<u8>, used: bool) {
+/// What is known of a connection that was served elsewhere before; of a new one, nothing.
+#[derive(Debug, Default)]
+pub struct Came {
+    /// Bytes that were read of it and belong to no whole record.
+    pub input: Vec<u8>,
+    /// It brought a request that makes sense.
+    pub used: bool,
+    /// For how long a first such request, or the rest of one, has been waited for.
+    pub waited: Option<Duration>,
+}
+
+fn start(stream: TcpStream, peer: SocketAddr, front: &Rc<Front>, came: Came) {
     let front = front.clone();
     front.open.set(front.open.get() + 1);
     let place = front.slots.borrow().last_key_value().map_or(0, |(place, _)| place + 1);
     let slot = Rc::new(Slot {
-        used: Cell::new(used),
+        used: Cell::new(came.used),
         quiet: Cell::new(true),
         last_traffic: Cell::new(Instant::now()),
         asked: Cell::new(false),
@@ -142,7 +152,7 @@
     front.slots.borrow_mut().insert(place, slot.clone());
     tokio::task::spawn_local(async move {
         let _ = stream.set_nodelay(true);
-        Connection::new(stream, peer, front.clone(), slot, input).serve().await;
+        Connection::new(stream, peer, front.clone(), slot, came).serve().await;
         front.slots.borrow_mut().remove(&place);
         front.open.set(front.open.get() - 1);
         front.ended.notify_waiters();
@@ -197,8 +207,8 @@
     }
 
     /// Serves a connection that another process had, with what that had read of it.
-    pub fn take_over(self: &Rc<Front>, stream: TcpStream, peer: SocketAddr, input: Vec<u8>, used: bool) {
-        start(stream, peer, self, input, used);
+    pub fn take_over(self: &Rc<Front>, stream: TcpStream, peer: SocketAddr, came: Came) {
+        start(stream, peer, self, came);
     }
 
     /// Asks the connection that is of least use to end: one that never brought a request that makes sense, else one that
@@ -267,13 +277,7 @@
 }
 
 impl Connection {
-    fn new(
-        stream: TcpStream,
-        peer: SocketAddr,
-        front: Rc<Front>,
-        slot: Rc<Slot>,
-        input: Vec<u8>,
-    ) -> Connection {
+    fn new(stream: TcpStream, peer: SocketAddr, front: Rc<Front>, slot: Rc<Slot>, came: Came) -> Connection {
         // Room for a reply to every request that may be open: handing one over never waits.
         let (reply_to, replies) = mpsc::channel(MAX_OPEN);
         let requests = Requests::new(front.held.clone());
@@ -287,12 +291,15 @@
             replies,
             reply_to,
             slot,
-            input,
+            input: came.input,
             output: Vec::new(),
             booked: 0,
             read_closed: false,
             closing: false,
-            waits_since: Some(now),
+            // A peer that brings nothing has no more time for having been passed on; nor has it less, as a clock may begin
+            // after that of its wait.
+            waits_since: (!came.used || came.waited.is_some())
+                .then(|| now.checked_sub(came.waited.unwrap_or_default()).unwrap_or(now)),
             stray: 0,
             last_write: now,
         }
@@ -321,13 +328,14 @@
 
     /// Hands the connection to a later start, with what was read of it; if that cannot be, it is served on here.
     async fn pass(self) {
-        let Connection { stream, peer, front, input, slot, .. } = self;
+        let Connection { stream, peer, front, input, slot, waits_since, .. } = self;
         let heir = front.heir.borrow().clone();
-        let used = slot.used.get();
+        let (used, waited) = (slot.used.get(), waits_since.map(|since| since.elapsed()));
+        let waited_ms = waited.map(|waited| waited.as_millis() as u64);
         let Ok(stream) = stream.into_std() else { return };
         let Ok(beside) = stream.try_clone() else { return };
         let (left, passed) = oneshot::channel();
-        let message = Message::Connection { input: input.clone(), used };
+        let message = Message::Connection { input: input.clone(), used, waited_ms };
         let out = Out { message, beside: Some(beside.into()), left: Some(left) };
         let sent = match &heir {
             Some(heir) => heir.send(out).await.is_ok(),
@@ -337,7 +345,7 @@
             return;
         }
         if let Ok(stream) = TcpStream::from_std(stream) {
-            start(stream, peer, &front, input, used);
+            start(stream, peer, &front, Came { input, used, waited });
         }
     }
 
@@ -348,9 +356,6 @@
             self.take_in().await?;
             self.write()?;
         }
-        if self.slot.used.get() {
-            self.waits_since = None;
-        }
         loop {
             // What is not whole by now never will be: waiting for it would keep the connection open for ever.
             let no_more = self.closing || self.read_closed;
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::engine::Idle;
 use crate::engine::input::{Input, Peer};
-use crate::fastcgi::connection::Front;
+use crate::fastcgi::connection::{Came, Front};
 use crate::log;
 use link::{Out, Place, Reader, Writer, ends};
 use std::io;
@@ -141,11 +141,14 @@
                 }
                 (Message::Ended(entry), _) => Peer::Ended(entry),
                 (Message::Lameduck { on }, _) => Peer::Lameduck { on },
-                (Message::Connection { input, used }, Some(stream)) => {
+                (Message::Connection { input, used, waited_ms }, Some(stream)) => {
                     let stream = std::net::TcpStream::from(stream);
                     let peer = stream.peer_addr();
                     match peer.and_then(|peer| Ok((tokio::net::TcpStream::from_std(stream)?, peer))) {
-                        Ok((stream, peer)) => front.take_over(stream, peer, input, used),
+                        Ok((stream, peer)) => {
+                            let waited = waited_ms.map(Duration::from_millis);
+                            front.take_over(stream, peer, Came { input, used, waited });
+                        }
                         Err(e) => log!(WARN, "upgrade: a connection was lost on the way: {e}"),
                     }
                     continue;
--- a/crates/node/src/upgrade/wire.rs
+++ b/crates/node/src/upgrade/wire.rs
@@ -10,8 +10,10 @@
 pub const VERSION: u32 = 1;
 /// The longest message. The largest is a piece of the table of keys, or a connection with what was read of it.
 pub const MAX_MESSAGE: usize = 256 * 1024;
-/// Entries of the table of keys in one message, with their results 4 KiB each at most.
+/// Entries of the table of keys in one message.
 pub const PIECE: usize = 32;
+/// Bytes of their keys and results. A result has 4 KiB, and 64 KiB at the very most: the longest line of the interpreter.
+pub const PIECE_BYTES: usize = 128 * 1024;
 const HEAD: usize = 4;
 
 /// What is said. A connection travels beside its message, and the listener beside [`Message::Welcome`].
@@ -71,6 +73,8 @@
         input: Vec<u8>,
         /// It brought a request that makes sense.
         used: bool,
+        /// For how many milliseconds a first such request, or the rest of one, has been waited for.
+        waited_ms: Option<u64>,
     },
     /// What the earlier start still takes of what both share.
     Load(Load),
@@ -107,6 +111,31 @@
     pub state: State,
 }
 
+impl Entry {
+    /// Bytes that it takes in a message, about.
+    fn size(&self) -> usize {
+        let result = if let State::Done(result) = &self.state { result.len() } else { 0 };
+        self.key.len() + result + 32
+    }
+}
+
+/// Cuts a table into pieces that each fit a message.
+pub fn pieces(entries: Vec<Entry>) -> Vec<Vec<Entry>> {
+    let mut pieces: Vec<Vec<Entry>> = Vec::new();
+    let mut bytes = 0;
+    for entry in entries {
+        bytes += entry.size();
+        match pieces.last_mut() {
+            Some(piece) if piece.len() < PIECE && bytes <= PIECE_BYTES => piece.push(entry),
+            _ => {
+                bytes = entry.size();
+                pieces.push(vec![entry]);
+            }
+        }
+    }
+    pieces
+}
+
 /// What became of a key.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum State {
--- a/crates/node/src/upgrade/wire/tests.rs
+++ b/crates/node/src/upgrade/wire/tests.rs
@@ -40,7 +40,7 @@
             reply: Reply::new(Answer::Served(vec![2; 4096].into()), Some(1.5)).into(),
         },
         Message::Ended(entry(State::NeverRan)),
-        Message::Connection { input: vec![3; 65_544], used: true },
+        Message::Connection { input: vec![3; 65_544], used: true, waited_ms: Some(7) },
         Message::Lameduck { on: false },
         Message::Load(Load { kb: 1.5, running: 2, descriptors: 3 }),
         Message::Farewell,
@@ -65,13 +65,23 @@
 }
 
 #[test]
-fn the_largest_piece_of_the_table_fits_and_what_is_longer_is_not_said() {
-    let entry =
-        Entry { key: "k".repeat(128).into(), print: 1, until: 2.0, state: State::Done(vec![0; 4096].into()) };
+fn every_piece_of_a_table_fits_and_what_is_longer_is_not_said() {
+    let entry = |bytes| Entry {
+        key: "k".repeat(128).into(),
+        print: 1,
+        until: 2.0,
+        state: State::Done(vec![0; bytes].into()),
+    };
+    let sizes = [4096; 100].into_iter().chain([65_536; 9]).chain([0; 100]);
+    let table: Vec<Entry> = sizes.map(entry).collect();
+    let pieces = pieces(table.clone());
+    assert_eq!(pieces.concat(), table);
     let mut bytes = Vec::new();
-    assert!(write(&Message::Table(vec![entry.clone(); PIECE]), &mut bytes));
+    for piece in pieces {
+        assert!(piece.len() <= PIECE && write(&Message::Table(piece), &mut bytes));
+    }
     let before = bytes.len();
-    assert!(!write(&Message::Table(vec![entry; 4 * PIECE]), &mut bytes));
+    assert!(!write(&Message::Table(vec![entry(MAX_MESSAGE)]), &mut bytes));
     assert_eq!(bytes.len(), before);
     // A length that makes no sense is refused before anything is read for it.
     assert_eq!(next(&mut u32::MAX.to_le_bytes().to_vec()), Err(NoMessage));
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,18 +1,20 @@
 //! The program started again while it serves: two processes as one nodo, under load, with stand-ins round them.
 
+use jaspershunt_node::upgrade::link::{Reader, Writer, ends};
 use jaspershunt_stand_ins::balancer::{Answer, Balancer, Request};
 use jaspershunt_stand_ins::directory::Directory;
-use jaspershunt_stand_ins::interpreter::{Interpreter, Work};
+use jaspershunt_stand_ins::interpreter::{Interpreter, Ran, Work};
 use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UnixListener, UnixStream};
 use tokio::runtime::Builder;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
@@ -96,8 +98,17 @@
 
     /// How often the body was run, by the interpreters' own records.
     fn runs(&self, body: &[u8]) -> usize {
+        self.count(|ran| ran.body == body)
+    }
+
+    /// How often a key of the load was run.
+    fn signed(&self, key: &str) -> usize {
+        self.count(|ran| ran.class == "sign" && ran.body == key.as_bytes())
+    }
+
+    fn count(&self, what: impl Fn(&Ran) -> bool) -> usize {
         let all = self.interpreters.iter();
-        all.map(|interpreter| interpreter.runs().iter().filter(|ran| ran.body == body).count()).sum()
+        all.map(|interpreter| interpreter.runs().iter().filter(|ran| what(ran)).count()).sum()
     }
 }
 
@@ -186,6 +197,25 @@
         }
     }
 
+    /// Ends, and checks that no key ran twice, and that no try was refused once another of its key had run.
+    async fn ends_safely(self, site: &Site) {
+        self.go.set(false);
+        for sender in self.senders {
+            sender.await.unwrap();
+        }
+        let mut tries: BTreeMap<String, Vec<u16>> = BTreeMap::new();
+        for (key, answer) in self.answers.borrow().iter().filter(|(key, _)| !key.is_empty()) {
+            tries.entry(key.clone()).or_default().push(answer.status);
+        }
+        for (key, statuses) in tries {
+            let runs = site.signed(&key);
+            assert!(runs <= 1, "{key} ran twice: {statuses:?}");
+            // If the first was not refused and something ran, the second came after the run began.
+            let refused = statuses[0] != 503 && statuses.get(1) == Some(&503);
+            assert!(runs == 0 || !refused, "{key} was refused after it ran: {statuses:?}");
+        }
+    }
+
     /// Ends, and checks that all was served, that each key ran once, and that its tries had one result.
     async fn check(self, site: &Site) -> usize {
         self.go.set(false);
@@ -201,11 +231,7 @@
             }
         }
         for key in results.keys() {
-            let body = key.as_bytes();
-            let signed = |interpreter: &Interpreter| {
-                interpreter.runs().iter().filter(|ran| ran.class == "sign" && ran.body == body).count()
-            };
-            assert_eq!(site.interpreters.iter().map(signed).sum::<usize>(), 1, "{key}");
+            assert_eq!(site.signed(key), 1, "{key}");
         }
         answers.len()
     }
@@ -244,6 +270,60 @@
     });
 }
 
+/// Passes messages on between two processes, with the descriptors beside them, and cuts the link after so many.
+async fn cut_after(messages: usize, earlier: UnixStream, later: UnixStream) {
+    let passed = Rc::new(Cell::new(0));
+    let ((mut from_earlier, mut to_earlier), (mut from_later, mut to_later)) = (ends(earlier), ends(later));
+    let pass = async |from: &mut Reader, to: &mut Writer| {
+        while let Ok((message, beside)) = from.next().await {
+            if passed.get() == messages {
+                return;
+            }
+            passed.set(passed.get() + 1);
+            if to.send(&message, beside.as_ref().map(AsFd::as_fd)).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = pass(&mut from_earlier, &mut to_later) => {}
+        () = pass(&mut from_later, &mut to_earlier) => {}
+    }
+}
+
+/// The link is cut after each number of messages that an upgrade takes, under load. The later start finds the earlier one
+/// again or goes on without it; no key runs twice and none is refused, whatever is not known.
+#[test]
+fn the_link_may_be_cut_at_any_message() {
+    local(async {
+        for messages in (0..10).chain([15, 25, 50]) {
+            let mut site = Site::new(&format!("cut{messages}")).await;
+            let earlier = site.start().await;
+            let load = Load::start(site.address);
+            load.more(30).await;
+            // The proxy takes the place of the earlier start's socket.
+            let (socket, behind) = (site.folder.join("jaspershunt-n1.sock"), site.folder.join("behind.sock"));
+            while std::fs::rename(&socket, &behind).is_err() {
+                sleep(Duration::from_millis(2)).await;
+            }
+            let proxy = UnixListener::bind(&socket).unwrap();
+            let cutting = spawn_local(async move {
+                let (later, _) = proxy.accept().await.unwrap();
+                let earlier = UnixStream::connect(&behind).await.unwrap();
+                // What comes behind the cut finds the earlier start itself, unless that is gone.
+                std::fs::rename(&behind, &socket).unwrap();
+                cut_after(messages, earlier, later).await;
+            });
+            let later = timeout(Duration::from_secs(20), site.start()).await.expect("it takes clients");
+            load.more(30).await;
+            earlier.signal("-TERM");
+            load.more(30).await;
+            load.ends_safely(&site).await;
+            drop((later, cutting));
+        }
+    });
+}
+
 /// A run that the earlier process has in hand serves the tries that reach the later one.
 #[test]
 fn a_key_that_runs_at_the_earlier_start_is_waited_for_at_the_later_one() {
