Record captures where the operator's file wants them, and look at them by command

Need (issue on capture and replay): nothing recorded yet, and nobody could ask a capture anything.

The last blocks are kept in a ring that begins with the state, written on SIGUSR1, when a guard keeps a rule, when refusals jump, or all the time. Off, and without a second thread, where the operator's file has no block `capture`; so it is in `run`.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CARGO ?= cargo
 LAB = target/release/jaspershunt-lab
 
-.PHONY: build test lint run lab demo measure measure-dependencies
+.PHONY: build test lint run lab demo measure measure-dependencies measure-capture
 
 build:
 	$(CARGO) build --release --locked
@@ -24,7 +24,10 @@
 demo: lab
 	$(LAB) demo
 
-measure: measure-dependencies
+measure: measure-dependencies measure-capture
 
 measure-dependencies: lab
 	$(LAB) measure dependencies $(if $(OUT),--out $(OUT))
+
+measure-capture: lab
+	$(LAB) measure capture $(if $(OUT),--out $(OUT))
--- /dev/null
+++ b/crates/capture/src/ring/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+/// Wrapped a thousand times, it never holds more than it may, and always begins with the state.
+#[test]
+fn what_is_kept_is_bounded_and_begins_with_the_state() {
+    for every in [1, 3, 7] {
+        let mut ring = Ring::new(1000);
+        for n in 0..30_000usize {
+            ring.push(vec![(n % 251) as u8; 20 + n % 13], n % every == 0);
+            assert!(ring.bytes() <= 1000);
+            assert_eq!(ring.bytes(), ring.blocks().map(<[u8]>::len).sum::<usize>());
+            let first = ring.blocks.front().unwrap();
+            assert!(first.1, "after {n} blocks, one state in {every}");
+        }
+        assert!(ring.bytes() > 700, "{} of 1000 are used", ring.bytes());
+        ring.bound(100);
+        assert!(ring.bytes() <= 100 && ring.blocks.front().is_none_or(|(_, snapshot)| *snapshot));
+    }
+    // A block that is larger than all there is room for is not kept, nor what cannot be replayed without it.
+    let mut ring = Ring::new(10);
+    ring.push(vec![0; 11], true);
+    ring.push(vec![0; 5], false);
+    assert_eq!(ring.blocks().count(), 1);
+}
--- a/crates/capture/src/rules.rs
+++ b/crates/capture/src/rules.rs
@@ -101,17 +101,20 @@
             Record::Gap { .. } => self.known.clear(),
             Record::Round(round) => {
                 if let Some(settings) = self.settings.take() {
-                    self.round(&settings, round);
-                    self.settings = Some(settings);
+                    let changed = self.round(&settings, round);
+                    self.settings = Some(changed.unwrap_or(settings));
                 }
             }
         }
     }
 
-    fn round(&mut self, settings: &Settings, round: &Round) {
+    fn round(&mut self, settings: &Settings, round: &Round) -> Option<Settings> {
+        let mut changed: Option<&Settings> = None;
         for event in &round.events {
             match event {
-                Event::Arrived(request) => self.arrived(settings, request, round.now),
+                Event::Arrived(request) => {
+                    self.arrived(changed.unwrap_or(settings), request, round.now);
+                }
                 // One that is given all the same goes nowhere and does no harm.
                 Event::Withdrawn { id } => self.no_answer_owed(*id),
                 // With the end of a run its answer goes out, unless one was given before.
@@ -125,6 +128,8 @@
                         known.ran = false;
                     }
                 }
+                // Requests that are open keep their places in it, and with them their classes.
+                Event::Settings(new) => changed = Some(&**new),
                 Event::Leave { .. } => self.left_at = self.left_at.or(Some(round.now)),
                 _ => {}
             }
@@ -153,6 +158,7 @@
         while self.known.len() > MAX_KNOWN {
             self.known.pop_first();
         }
+        changed.cloned()
     }
 
     fn tell(&mut self, round: u64, id: RequestId, rule: Rule) {
@@ -209,6 +215,14 @@
     }
 }
 
+/// Checks rounds alone, under these settings.
+pub fn check_rounds(settings: &Settings, rounds: &[Round]) -> Vec<Broken> {
+    let mut rules = Rules::new();
+    rules.settings = Some(settings.clone());
+    rounds.iter().for_each(|round| rules.record(&Record::Round(round.clone())));
+    rules.end()
+}
+
 /// Checks a whole capture.
 pub fn check<'a>(parts: impl IntoIterator<Item = &'a Part>) -> Vec<Broken> {
     let mut rules = Rules::new();
--- /dev/null
+++ b/crates/capture/src/sink/tests.rs
@@ -0,0 +1,112 @@
+use super::*;
+use crate::reader::{Part, parts};
+use crate::record::Round;
+use crate::replay::replay;
+use crate::tests::settings;
+use jaspershunt::{Controller, Event, Gauges};
+use std::collections::BTreeMap;
+
+/// A disk in memory that can be full.
+#[derive(Default)]
+struct Memory {
+    files: BTreeMap<String, Vec<u8>>,
+    full: bool,
+}
+
+impl Disk for Memory {
+    fn write(&mut self, name: &str, parts: &[&[u8]]) -> io::Result<()> {
+        if self.full {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.files.insert(name.to_string(), parts.concat());
+        Ok(())
+    }
+
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.files.keys().cloned().collect())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.files.remove(name).map(|_| ()).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+/// Rounds of a server that wakes; each is handed over with the state every tenth.
+fn feed(sink: &mut Sink<Memory>, rounds: std::ops::Range<u64>, module: &mut Controller) -> Vec<Told> {
+    let mut told = Vec::new();
+    for number in rounds {
+        let now = number as f64 / 10.0;
+        if number % 10 == 0 {
+            told.extend(sink.take(Piece::Snapshot { now, state: module.save() }));
+        }
+        let events =
+            vec![Event::Woke { token: 0, gauges: Gauges { core_use: Some(now), ..Gauges::default() } }];
+        let mut actions = Vec::new();
+        module.step(now, &events, &mut actions);
+        told.extend(sink.take(Piece::Round(Round { number, now, names: vec![], events, actions })));
+    }
+    told
+}
+
+fn sink(bounds: Bounds) -> (Sink<Memory>, Controller) {
+    let head = Head { version: "1".into(), nodo: "n1".into(), epoch: 1e9, settings: settings() };
+    let limits = Limits { block_bytes: 600, snapshot_every: 1.0 };
+    (Sink::new(head, limits, bounds, Memory::default()), Controller::new(settings()).unwrap())
+}
+
+fn rounds_of(bytes: &[u8]) -> u64 {
+    let parts: Vec<Part> = parts(bytes).unwrap().collect();
+    let replayed = replay(&parts);
+    assert_eq!((replayed.differs, replayed.skipped, replayed.spoilt.len()), (None, 0, 0));
+    replayed.same
+}
+
+#[test]
+fn what_is_written_out_replays_and_the_oldest_files_make_room() {
+    let (mut sink, mut module) = sink(Bounds { ring: 6_000, files: 3, all: false });
+    for n in 0..8 {
+        assert!(feed(&mut sink, n * 50..n * 50 + 50, &mut module).is_empty());
+        let Some(Told::Wrote(name)) = sink.take(Piece::WriteOut(Reason::Asked)) else {
+            panic!("not written")
+        };
+        assert!(name.starts_with("n1-") && name.ends_with("-asked.jshcap"), "{name}");
+        assert!(rounds_of(&sink.disk().files[&name]) >= 10);
+        assert!(sink.kept() <= 6_000);
+    }
+    assert_eq!(sink.disk().files.len(), 3);
+    sink.take(Piece::Shrink(1_000));
+    assert!(sink.kept() <= 1_000);
+}
+
+/// A full disk loses that file and says so; what is kept is there for the next.
+#[test]
+fn a_full_disk_is_said_and_the_next_file_is_whole() {
+    let (mut sink, mut module) = sink(Bounds { ring: 60_000, files: 3, all: false });
+    assert_eq!(sink.take(Piece::WriteOut(Reason::Asked)), Some(Told::Failed("nothing is kept yet".into())));
+    feed(&mut sink, 0..60, &mut module);
+    sink.disk().full = true;
+    assert!(matches!(sink.take(Piece::WriteOut(Reason::Guard)), Some(Told::Failed(_))));
+    sink.disk().full = false;
+    feed(&mut sink, 60..100, &mut module);
+    let Some(Told::Wrote(name)) = sink.take(Piece::WriteOut(Reason::Guard)) else { panic!("not written") };
+    assert_eq!(rounds_of(&sink.disk().files[&name]), 100);
+}
+
+/// With all recorded, every round is in some file.
+#[test]
+fn all_that_is_recorded_is_in_files_without_a_hole() {
+    let (mut sink, mut module) = sink(Bounds { ring: 6_000, files: 1_000, all: true });
+    feed(&mut sink, 0..1_000, &mut module);
+    sink.take(Piece::WriteOut(Reason::End));
+    let mut numbers = std::collections::BTreeSet::new();
+    for bytes in sink.disk().files.values() {
+        for part in parts(bytes).unwrap() {
+            let Part::Block { records, .. } = part else { panic!("spoilt") };
+            numbers.extend(records.iter().filter_map(|record| match record {
+                crate::record::Record::Round(round) => Some(round.number),
+                _ => None,
+            }));
+        }
+    }
+    assert_eq!(numbers.len(), 1_000);
+}
--- /dev/null
+++ b/crates/capture/src/story.rs
@@ -0,0 +1,260 @@
+//! The story of one request, in plain words: what came, what was decided, and the figures that it rested on.
+
+use crate::reader::Part;
+use crate::record::{Record, Round};
+use jaspershunt::{Action, Controller, Event, Figures, Outcome, Repeat, Request, RequestId, Settings};
+use std::fmt::Write;
+
+/// Something that happened to the request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Moment {
+    /// The module's clock.
+    pub at: f64,
+    /// What happened.
+    pub what: String,
+}
+
+/// The story of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Story {
+    /// What the peers call it, if the capture has it.
+    pub name: Option<String>,
+    /// The request.
+    pub request: Request,
+    /// What happened, in order.
+    pub moments: Vec<Moment>,
+    /// How it ended, if that is in the capture.
+    pub ended: bool,
+}
+
+impl Story {
+    /// As text; times count from the arrival at the machine.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let name = self.name.as_deref().unwrap_or("?");
+        let began = self.moments.first().map_or(0.0, |first| first.at) - self.request.waited;
+        // Writing to a String cannot fail.
+        let _ = writeln!(text, "request {name} (number {})", self.request.id.0);
+        for moment in &self.moments {
+            let _ = writeln!(text, "  {:8.3} s  {}", moment.at - began, moment.what);
+        }
+        if !self.ended {
+            let _ = writeln!(text, "            the capture ends before the request does");
+        }
+        text
+    }
+}
+
+/// Finds the request in a capture by what its peers call it or by its number, and tells what became of it. The rounds
+/// between are replayed, so that the figures are those of that moment.
+pub fn story(parts: &[Part], wanted: &str) -> Option<Story> {
+    let number = wanted.parse::<u64>().ok().map(RequestId);
+    let mut teller = Teller { module: None, settings: None, story: None };
+    for part in parts {
+        let Part::Block { records, .. } = part else {
+            teller.module = None;
+            continue;
+        };
+        for record in records {
+            match record {
+                Record::Head(head) => teller.settings = Some(head.settings.clone()),
+                Record::Gap { .. } => teller.module = None,
+                Record::Snapshot(state) => teller.module = Controller::load(state).ok(),
+                Record::Round(round) => {
+                    teller.round(round, wanted, number);
+                    if teller.story.as_ref().is_some_and(|story| story.ended) {
+                        return teller.story;
+                    }
+                }
+            }
+        }
+    }
+    teller.story
+}
+
+struct Teller {
+    module: Option<Controller>,
+    settings: Option<Settings>,
+    story: Option<Story>,
+}
+
+impl Teller {
+    fn round(&mut self, round: &Round, wanted: &str, number: Option<RequestId>) {
+        let before = self.module.as_ref().map(|module| module.figures());
+        for event in &round.events {
+            self.event(round, event, wanted, number, before);
+        }
+        if let Some(module) = &mut self.module {
+            module.step(round.now, &round.events, &mut Vec::new());
+        }
+        for action in &round.actions {
+            self.action(round, action, before);
+        }
+    }
+
+    fn tell(&mut self, at: f64, what: String) {
+        if let Some(story) = &mut self.story {
+            story.moments.push(Moment { at, what });
+        }
+    }
+
+    fn event(
+        &mut self,
+        round: &Round,
+        event: &Event,
+        wanted: &str,
+        number: Option<RequestId>,
+        before: Option<Figures>,
+    ) {
+        if let Event::Settings(settings) = event {
+            self.settings = Some((**settings).clone());
+        }
+        if let Event::Arrived(request) = event {
+            let name = round.names.iter().find(|(id, _)| *id == request.id).map(|(_, name)| name.clone());
+            if self.story.is_none() && (name.as_deref() == Some(wanted) || number == Some(request.id)) {
+                self.story =
+                    Some(Story { name, request: request.clone(), moments: Vec::new(), ended: false });
+                let what = self.arrival(request, before);
+                self.tell(round.now, what);
+            }
+            return;
+        }
+        let Some(id) = self.story.as_ref().map(|story| story.request.id) else { return };
+        match event {
+            Event::Ended { id: this, outcome } if *this == id => {
+                let what = match outcome {
+                    Outcome::Done => "its run ended well, and it was served".to_string(),
+                    Outcome::Failed => "its run failed, and so did it".to_string(),
+                    Outcome::Stopped => "its run was stopped".to_string(),
+                    other => format!("its run ended: {other:?}"),
+                };
+                self.tell(round.now, what);
+                let over = matches!(outcome, Outcome::Done | Outcome::Failed);
+                self.story.iter_mut().for_each(|story| story.ended |= over);
+            }
+            Event::CallWanted { id: this } if *this == id => {
+                self.tell(round.now, "its run needs a call and waits off the cores".to_string());
+            }
+            Event::CallEnded { id: this, outcome, took } if *this == id => {
+                self.tell(round.now, format!("its call ended after {:.0} ms: {outcome:?}", took * 1000.0));
+            }
+            Event::Withdrawn { id: this } if *this == id => {
+                self.tell(round.now, "its caller has gone: no answer is owed".to_string());
+                self.story.iter_mut().for_each(|story| story.ended = true);
+            }
+            _ => {}
+        }
+    }
+
+    fn arrival(&self, request: &Request, figures: Option<Figures>) -> String {
+        let class = self.settings.as_ref().and_then(|set| set.classes.get(request.class));
+        let class = class.map_or("?", |class| class.name.as_str());
+        let mut what = format!("read: {class} of caller {}", request.caller.0);
+        let _ = write!(what, ", {:.0} ms after it came to the machine", request.waited * 1000.0);
+        if request.retry {
+            what.push_str(", marked as a further try");
+        }
+        if let Some(first) = request.repeats {
+            let _ = write!(what, ", repeats request {}", first.0);
+        }
+        if let Some(figures) = figures {
+            let _ = write!(what, "; {}", state(&figures));
+        }
+        what
+    }
+
+    fn action(&mut self, round: &Round, action: &Action, before: Option<Figures>) {
+        let Some(story) = &self.story else { return };
+        let id = story.request.id;
+        let begun = story.moments.iter().any(|moment| moment.what.starts_with("run:"));
+        let what = match action {
+            Action::Run(this) if *this == id => "run: it has a core".to_string(),
+            Action::Stop(this) if *this == id => "its run is to stop".to_string(),
+            Action::ServeFrom(this) if *this == id => "gets what the run of its key makes".to_string(),
+            Action::Call { id: this, give_up_after } if *this == id => {
+                format!("its call is made, for {:.0} ms at most", give_up_after * 1000.0)
+            }
+            Action::SkipCall(this) if *this == id => "goes on without its call".to_string(),
+            Action::Fail(this) if *this == id => "failed".to_string(),
+            Action::Refuse { id: this, stay_away, last } if *this == id => {
+                let why = match before {
+                    Some(figures) => self.why_refused(round, begun, &figures),
+                    None => "the state at that moment is not in the capture".to_string(),
+                };
+                let last = if *last { ", and asked not to try elsewhere" } else { "" };
+                format!("refused, to come back after {:.0} ms{last}: {why}", stay_away * 1000.0)
+            }
+            _ => return,
+        };
+        let over = matches!(action, Action::Refuse { .. } | Action::Fail(_));
+        self.tell(round.now, what);
+        self.story.iter_mut().for_each(|story| story.ended |= over);
+    }
+
+    /// What the refusal rested on. The module tells no reason; its figures, and what came in the same round, do.
+    fn why_refused(&self, round: &Round, begun: bool, before: &Figures) -> String {
+        let (Some(story), Some(settings), Some(module)) = (&self.story, &self.settings, &self.module) else {
+            return String::new();
+        };
+        let request = &story.request;
+        let Some(class) = settings.classes.get(request.class) else { return String::new() };
+        let read_at = story.moments.first().map_or(round.now, |first| first.at);
+        let arrived = read_at - request.waited;
+        let needs = module.expected_time(request.class, request.cost_hint);
+        let (aim, left) = (arrived + class.aim - round.now, arrived + class.deadline - round.now);
+        let newer = round.events.iter().any(|event| {
+            matches!(event, Event::Arrived(other) if other.repeats == Some(request.id) && other.id != request.id)
+        });
+        let after = module.figures();
+        // Its own place is free again by now, so that it is counted in.
+        let here = module.requests_of(request.caller) + 1.0;
+        let keyed = matches!(class.repeat, Repeat::Keyed(_));
+        let reason = if newer && keyed {
+            "a newer try of the same request takes its place".to_string()
+        } else if after.leaving && !before.leaving || after.leaving && !begun && round.now <= read_at {
+            "the nodo leaves, and it came after the grace".to_string()
+        } else if begun || left <= 0.05 {
+            format!("its time is up: {:.0} ms are left of its deadline", left.max(0.0) * 1000.0)
+        } else if round.now <= read_at && before.memory_left_kb < request.held_kb * settings.run_factor {
+            format!("there is no memory for it: {:.0} kB are left", before.memory_left_kb)
+        } else if aim < needs {
+            format!(
+                "it can no longer end in time: {:.0} ms are left of its aim, and it needs about {:.0} ms",
+                aim.max(0.0) * 1000.0,
+                needs * 1000.0
+            )
+        } else if before.held + 1.0 > before.ceiling && here > before.credit {
+            format!(
+                "too much waits, and its caller has {here:.0} requests here where {:.1} are its credit",
+                before.credit
+            )
+        } else if before.held + 1.0 > before.ceiling {
+            "too much waits, and what is ahead of it would keep it from its aim".to_string()
+        } else {
+            "another request of more worth takes its place".to_string()
+        };
+        format!("{reason}; {}", state(before))
+    }
+}
+
+/// The figures in words.
+fn state(figures: &Figures) -> String {
+    let mut text = format!(
+        "{:.0} held (N_sess) of {:.1} (N_max), {:.0} on the cores of {:.1}, {:.0} at calls, μ {:.1}/s, credit {:.1} for {:.0} callers",
+        figures.held,
+        figures.ceiling,
+        figures.running,
+        figures.limit,
+        figures.parked,
+        figures.rate,
+        figures.credit,
+        figures.callers
+    );
+    if figures.storm {
+        text.push_str(", tries storm");
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/capture/src/tests.rs
+++ b/crates/capture/src/tests.rs
@@ -9,7 +9,7 @@
 use jaspershunt::*;
 use std::collections::BTreeMap;
 
-fn settings() -> Settings {
+pub(crate) fn settings() -> Settings {
     let class = |name: &str, worth, repeat, skip_worth| Class {
         name: name.to_string(),
         worth,
--- /dev/null
+++ b/crates/lab/src/capture.rs
@@ -0,0 +1,248 @@
+//! The experiment on captures: overloads against a nodo that records them, with one dependency broken in the middle, each
+//! replayed ten times and from every state in it; and what recording costs.
+
+use crate::load::{Stream, arrivals, play};
+use crate::report::table;
+use crate::site::{Site, SitePlan, cpu_seconds, memory_kib, on_one_thread};
+use jaspershunt_capture::reader::{Part, parts};
+use jaspershunt_capture::replay::replay;
+use jaspershunt_capture::rules;
+use jaspershunt_capture::summary::summary;
+use jaspershunt_stand_ins::dependency::{Mode, Plan};
+use jaspershunt_stand_ins::script::Script;
+use std::io;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::task::spawn_local;
+
+/// Captures, and replays of each.
+const CAPTURES: u64 = 10;
+const REPLAYS: usize = 10;
+/// The length of a load, and the part of it in which the dependency is broken.
+const LASTS: f64 = 4.0;
+const BREAKS: f64 = 1.5;
+const HEALS: f64 = 2.5;
+/// Requests a second of each of two classes: about twice what the cores can do.
+const RATE: f64 = 160.0;
+const PAIRS: u64 = 9;
+const RING: &str = "2MiB";
+const RING_KIB: u64 = 2048;
+
+/// The bounds.
+const SPEED: f64 = 100.0;
+const CPU: f64 = 1.05;
+const BYTES: f64 = 200.0;
+/// Memory beyond the capture's own bound that does not count, in KiB: a thread, its stack and a block in the making.
+const SLACK_KIB: u64 = 1024;
+
+fn plan(folder: Option<&Path>) -> SitePlan {
+    let registro = Plan::new("registro", 32, Duration::from_millis(5));
+    let capture = folder.map_or(String::new(), |folder| {
+        format!(
+            "capture {{\n  folder = \"{}\"\n  ring = \"{RING}\"\n  snapshot = \"1s\"\n}}\n",
+            folder.display()
+        )
+    });
+    let file = format!(
+        "dependency \"registro\" {{\n  addresses = [\"{{0}}\"]\n  calls = 24\n  connections = 24\n  share = \"90%\"\n}}\n\
+         route \"look\" {{\n  repeat = \"safe\"\n  call \"any\" {{ to = \"registro\" }}\n}}\n\
+         route \"sign\" {{\n  repeat = \"keyed\"\n  call \"any\" {{ to = \"registro\" }}\n}}\n{capture}"
+    );
+    SitePlan {
+        dependencies: vec![registro],
+        classes: vec![("look", false), ("sign", true)],
+        file: Some(file),
+        cores: 2,
+        part: Duration::from_millis(6),
+    }
+}
+
+fn streams(rate: f64) -> [Stream; 2] {
+    let look = Stream { class: "look", keyed: false, rate, repeats: 0.0, things: 500 };
+    [look.clone(), Stream { class: "sign", keyed: true, repeats: 0.2, ..look }]
+}
+
+/// Plays a load with captures on; returns the bytes of the capture.
+async fn captured(nodo: &Path, seed: u64) -> io::Result<Vec<u8>> {
+    let folder = tempfile::tempdir()?;
+    let site = Site::start(nodo, &plan(Some(folder.path()))).await?;
+    let (from, until) = (Duration::from_secs_f64(BREAKS), Duration::from_secs_f64(HEALS));
+    let registro = site.dependencies[0].clone();
+    spawn_local(async move { Script::fault(from, Mode::Failing, until).play(&registro).await });
+    play(&site, arrivals(&streams(RATE), Duration::from_secs_f64(LASTS), seed), |_, _| {}).await;
+    let process = site.process().ok_or_else(|| io::Error::other("the nodo has ended"))?;
+    let asked = tokio::process::Command::new("kill").args(["-USR1", &process.to_string()]).status().await?;
+    if !asked.success() {
+        return Err(io::Error::other("the nodo does not take SIGUSR1"));
+    }
+    let until = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < until {
+        for entry in std::fs::read_dir(folder.path())? {
+            let path = entry?.path();
+            if path.to_string_lossy().ends_with("-asked.jshcap") {
+                let bytes = std::fs::read(path)?;
+                site.stop().await;
+                return Ok(bytes);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    Err(io::Error::other(format!("no capture was written: {}", site.log())))
+}
+
+/// CPU of the engine's thread for each request, and the most memory, with captures or without.
+async fn cost(nodo: &Path, seed: u64, on: bool) -> io::Result<(f64, u64)> {
+    let folder = tempfile::tempdir()?;
+    let mut plan = plan(on.then(|| folder.path()));
+    plan.cores = 16;
+    let site = Site::start(nodo, &plan).await?;
+    let process = site.process().ok_or_else(|| io::Error::other("the nodo has ended"))?;
+    let before = cpu_seconds(process).unwrap_or(0.0);
+    let played = play(&site, arrivals(&streams(400.0), Duration::from_secs(2), seed), |_, _| {}).await;
+    let cpu = cpu_seconds(process).unwrap_or(0.0) - before;
+    let memory = memory_kib(process).unwrap_or(0);
+    site.stop().await;
+    Ok((cpu * 1e6 / played.sent.len().max(1) as f64, memory))
+}
+
+/// What one capture showed.
+struct Shown {
+    rounds: u64,
+    alike: usize,
+    from_states: (usize, usize),
+    refused: u64,
+    broken_rules: usize,
+    speed: f64,
+    bytes_a_request: f64,
+}
+
+fn look(bytes: &[u8]) -> io::Result<Shown> {
+    let all: Vec<Part> = parts(bytes).map_err(io::Error::other)?.collect();
+    let sum = summary(&all);
+    let began = Instant::now();
+    let replays: Vec<_> = (0..REPLAYS).map(|_| replay(&all)).collect();
+    let took = began.elapsed().as_secs_f64() / REPLAYS as f64;
+    let good = |replayed: &jaspershunt_capture::replay::Replayed| {
+        replayed.differs.is_none() && replayed.spoilt.is_empty() && replayed.same > 0 && replayed.skipped == 0
+    };
+    let alike = replays.iter().filter(|other| good(other) && **other == replays[0]).count();
+    let states: Vec<usize> =
+        (0..all.len()).filter(|n| matches!(&all[*n], Part::Block { head, .. } if head.snapshot)).collect();
+    let same = states.iter().filter(|from| good(&replay(&all[**from..]))).count();
+    let read: u64 = sum.classes.values().map(|class| class.read).sum();
+    Ok(Shown {
+        rounds: sum.rounds,
+        alike,
+        from_states: (same, states.len()),
+        refused: sum.classes.values().map(|class| class.refused).sum(),
+        broken_rules: rules::check(&all).len(),
+        speed: sum.seconds / took.max(1e-9),
+        bytes_a_request: bytes.len() as f64 / read.max(1) as f64,
+    })
+}
+
+/// Measures; whether all bounds hold.
+///
+/// # Errors
+/// A site does not come up, or no capture is written.
+pub fn measure(nodo: &Path, out: Option<&Path>, seed: u64) -> io::Result<bool> {
+    let mut shown = Vec::new();
+    for batch in (0..CAPTURES).collect::<Vec<_>>().chunks(5) {
+        let captures: Vec<io::Result<Vec<u8>>> = thread::scope(|scope| {
+            let started: Vec<_> = batch
+                .iter()
+                .map(|n| scope.spawn(move || on_one_thread(captured(nodo, seed * 1000 + n))))
+                .collect();
+            let panicked = || Err(io::Error::other("a run panicked"));
+            started.into_iter().map(|run| run.join().unwrap_or_else(|_| panicked())).collect()
+        });
+        for bytes in captures {
+            shown.push(look(&bytes?)?);
+        }
+    }
+    let (mut ratios, mut beyond) = (Vec::new(), 0);
+    for n in 0..PAIRS {
+        let side = |on: bool| on_one_thread(cost(nodo, seed * 1000 + n, on));
+        let (with, without) = thread::scope(|scope| {
+            let other = scope.spawn(|| side(false));
+            (side(true), other.join().unwrap_or_else(|_| Err(io::Error::other("a run panicked"))))
+        });
+        let (with, without) = (with?, without?);
+        ratios.push(with.0 / without.0);
+        beyond = beyond.max(with.1.saturating_sub(without.1));
+    }
+    ratios.sort_by(f64::total_cmp);
+    let cpu = ratios[ratios.len() / 2];
+    let least = |what: &dyn Fn(&Shown) -> f64| shown.iter().map(what).fold(f64::INFINITY, f64::min);
+    let most = |what: &dyn Fn(&Shown) -> f64| shown.iter().map(what).fold(0.0, f64::max);
+    let alike: usize = shown.iter().map(|one| one.alike).sum();
+    let states = shown.iter().fold((0, 0), |sum, one| (sum.0 + one.from_states.0, sum.1 + one.from_states.1));
+    let broken: usize = shown.iter().map(|one| one.broken_rules).sum();
+    let speed = least(&|one| one.speed);
+    let bytes = most(&|one| one.bytes_a_request);
+    let refused = least(&|one| one.refused as f64);
+    let whole = CAPTURES as usize * REPLAYS;
+    let rows = [
+        (
+            "replays that decide the same, bit for bit",
+            format!("{alike} of {whole}"),
+            format!("{whole}"),
+            alike == whole,
+        ),
+        (
+            "the same from every state in them",
+            format!("{} of {}", states.0, states.1),
+            "all".into(),
+            states.0 == states.1 && states.1 > 0,
+        ),
+        ("rules broken, as far as captures show", broken.to_string(), "0".into(), broken == 0),
+        (
+            "refused in each capture, at least",
+            format!("{refused:.0}"),
+            "≥ 100: an overload".into(),
+            refused >= 100.0,
+        ),
+        (
+            "replay against the time captured",
+            format!("{speed:.0} ×"),
+            format!("≥ {SPEED:.0} ×"),
+            speed >= SPEED,
+        ),
+        (
+            "CPU of the engine a request, on against off, median of 9 pairs",
+            format!("{cpu:.3}"),
+            format!("≤ {CPU}"),
+            cpu <= CPU,
+        ),
+        ("bytes a request", format!("{bytes:.0}"), format!("≤ {BYTES:.0}"), bytes <= BYTES),
+        (
+            "memory beyond that without, KiB",
+            beyond.to_string(),
+            format!("≤ {} (ring) + {SLACK_KIB}", RING_KIB),
+            beyond <= RING_KIB + SLACK_KIB,
+        ),
+    ];
+    let cells = |(what, measured, bound, holds): &(&str, String, String, bool)| {
+        let verdict = if *holds { "holds" } else { "falls short" };
+        vec![what.to_string(), measured.clone(), bound.clone(), verdict.to_string()]
+    };
+    let bounds = table(&["figure", "measured", "bound", ""], &rows.iter().map(cells).collect::<Vec<_>>());
+    let short: Vec<&str> = rows.iter().filter(|(.., holds)| !holds).map(|(what, ..)| *what).collect();
+    let last = match short.is_empty() {
+        true => "capture: holds".to_string(),
+        false => format!("capture: falls short: {}", short.join("; ")),
+    };
+    let rounds: u64 = shown.iter().map(|one| one.rounds).sum();
+    println!("{bounds}\n\n{rounds} rounds in {CAPTURES} captures\n\n{last}");
+    if let Some(folder) = out {
+        std::fs::create_dir_all(folder)?;
+        let text = format!(
+            "# Captures, measured\n\n    make measure-capture OUT=docs/measured   # seed {seed}\n\n{CAPTURES} overloads of {LASTS} s, \
+             {RATE} requests a second of each of two classes on 2 cores, with the one dependency failing from second {BREAKS} to \
+             {HEALS}: {rounds} rounds. CPU and memory in pairs at one time, without an overload.\n\n{bounds}\n\n{last}\n"
+        );
+        std::fs::write(folder.join("capture.md"), text)?;
+    }
+    Ok(short.is_empty())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! The lab: plays loads against a real nodo and its stand-ins, and writes down what it measured.
 
+mod capture;
 mod cpu;
 mod demo;
 mod dependencies;
@@ -30,7 +31,7 @@
     /// Measure one subsystem. Prints a table; the last line says whether its bounds hold; exits with 0 or 1.
     Measure {
         /// What to measure.
-        #[arg(value_parser = ["dependencies"])]
+        #[arg(value_parser = ["dependencies", "capture"])]
         what: String,
         /// Also write table and chart into this folder.
         #[arg(long, value_name = "FOLDER")]
@@ -68,7 +69,10 @@
     }
     let holds = match cli.command {
         Command::Demo => demo::run(&nodo),
-        Command::Measure { out, seed, .. } => dependencies::measure(&nodo, out.as_deref(), seed),
+        Command::Measure { what, out, seed } => match what.as_str() {
+            "capture" => capture::measure(&nodo, out.as_deref(), seed),
+            _ => dependencies::measure(&nodo, out.as_deref(), seed),
+        },
         Command::Cpu { against, runs, rate, seconds } => {
             cpu::compare(&nodo, &against, runs, rate, Duration::from_secs(seconds))
         }
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -42,6 +42,8 @@
         /// Told once it is so.
         done: oneshot::Sender<()>,
     },
+    /// Write out what was captured.
+    WriteCapture,
     /// Take up settings that were read anew.
     Settings {
         /// The settings and their names.
--- /dev/null
+++ b/crates/node/src/capture.rs
@@ -0,0 +1,211 @@
+//! Records what the module is told and asks for, where the operator's file wants it. The engine hands pieces over and never
+//! waits; a thread of its own makes blocks of them, keeps the last ones and writes files. What is decided of all that is in
+//! `jaspershunt-capture`: [`Tap`] on this side, [`Sink`] on that.
+
+use crate::log;
+use jaspershunt::{Action, Controller, Event};
+use jaspershunt_capture::record::{Head, Round};
+use jaspershunt_capture::recorder::Limits;
+use jaspershunt_capture::sink::{Bounds, Disk, Sink, Told};
+use jaspershunt_capture::tap::{Jump, Piece, Reason, Tap};
+use jaspershunt_operator::Capture as Wanted;
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::JoinHandle;
+
+/// Pieces that wait for the thread. Their bytes have a bound of their own.
+const PIECES: usize = 1024;
+/// The part of the capture's memory that waits for the thread, at most; the ring has the rest.
+const WAITING_PART: usize = 4;
+/// While the nodo is pressed for memory the ring keeps this part of its bound.
+const PRESSED_PART: usize = 8;
+
+/// A capture under way.
+pub struct Capture {
+    /// `None` once it has ended.
+    to: Option<SyncSender<Piece>>,
+    waiting: Arc<AtomicUsize>,
+    most_waiting: usize,
+    ring: usize,
+    tap: Tap,
+    jump: Jump,
+    /// The round that is under way is handed over when it is made.
+    open: bool,
+    pressed: bool,
+    /// All is written, what is kept at the end too.
+    all: bool,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Capture {
+    /// Begins to record.
+    ///
+    /// # Errors
+    /// The folder cannot be written, or the thread not be started.
+    pub fn start(wanted: &Wanted, head: Head) -> io::Result<Capture> {
+        let folder = Folder(PathBuf::from(&wanted.folder));
+        fs::create_dir_all(&folder.0)?;
+        folder.sweep()?;
+        // The cast loses nothing: the size is checked against the memory limit.
+        let bytes = wanted.ring.0 as usize;
+        let most_waiting = bytes / WAITING_PART;
+        let ring = bytes - most_waiting;
+        let bounds = Bounds { ring, files: wanted.files, all: wanted.all };
+        let every = wanted.snapshot.0.as_secs_f64();
+        let limits = Limits { snapshot_every: every, ..Limits::default() };
+        let sink = Sink::new(head, limits, bounds, folder);
+        let (to, pieces) = sync_channel(PIECES);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let counted = waiting.clone();
+        let thread = std::thread::Builder::new()
+            .name("capture".to_string())
+            .spawn(move || gather(sink, &pieces, &counted))?;
+        Ok(Capture {
+            to: Some(to),
+            waiting,
+            most_waiting,
+            ring,
+            tap: Tap::new(every),
+            jump: Jump::new(wanted.refusals.0),
+            open: false,
+            pressed: false,
+            all: wanted.all,
+            thread: Some(thread),
+        })
+    }
+
+    /// A round of the module begins.
+    pub fn begin(&mut self, now: f64, module: &Controller) {
+        let Capture { to, waiting, most_waiting, tap, .. } = self;
+        let hand_over = |piece| hand_over(to.as_ref(), waiting, *most_waiting, piece);
+        self.open = tap.begin(now, || module.save(), hand_over);
+    }
+
+    /// A round was made.
+    pub fn round(
+        &mut self,
+        now: f64,
+        names: Vec<(jaspershunt::RequestId, String)>,
+        events: Vec<Event>,
+        actions: &[Action],
+    ) {
+        let jumped = self.jump.round(now, &events, actions);
+        let number = self.tap.number();
+        let piece = Piece::Round(Round { number, now, names, events, actions: actions.to_vec() });
+        if !self.open || !hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, piece) {
+            self.tap.missed();
+        }
+        if jumped {
+            self.write_out(Reason::Refusals);
+        }
+    }
+
+    /// Has what is kept written out.
+    pub fn write_out(&mut self, reason: Reason) {
+        if !hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, Piece::WriteOut(reason)) {
+            log!(WARN, "capture: too much waits; nothing is written out");
+        }
+    }
+
+    /// Keeps less while the nodo is pressed for memory, and as much as it may when it is not.
+    pub fn press(&mut self, pressed: bool) {
+        if pressed != self.pressed {
+            let most = if pressed { self.ring / PRESSED_PART } else { self.ring };
+            if hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, Piece::Shrink(most)) {
+                self.pressed = pressed;
+            }
+        }
+    }
+}
+
+impl Drop for Capture {
+    /// Waits until all that was handed over is taken in, and what was asked for is written.
+    fn drop(&mut self) {
+        if self.all {
+            self.write_out(Reason::End);
+        }
+        self.to = None;
+        if let Some(thread) = self.thread.take() {
+            // An error means that it panicked, which it has told of itself.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Hands a piece over if there is room.
+fn hand_over(to: Option<&SyncSender<Piece>>, waiting: &AtomicUsize, most: usize, piece: Piece) -> bool {
+    let weight = piece.weight();
+    // Only this side adds, so that what it reads is never too low.
+    if waiting.load(Ordering::Relaxed) + weight > most {
+        return false;
+    }
+    waiting.fetch_add(weight, Ordering::Relaxed);
+    let taken = to.is_some_and(|to| to.try_send(piece).is_ok());
+    if !taken {
+        waiting.fetch_sub(weight, Ordering::Relaxed);
+    }
+    taken
+}
+
+fn gather(mut sink: Sink<Folder>, pieces: &Receiver<Piece>, waiting: &AtomicUsize) {
+    while let Ok(piece) = pieces.recv() {
+        let weight = piece.weight();
+        match sink.take(piece) {
+            Some(Told::Wrote(name)) => log!("capture: {name} was written"),
+            Some(Told::Failed(why)) => log!(WARN, "capture: {why}"),
+            None => {}
+        }
+        waiting.fetch_sub(weight, Ordering::Relaxed);
+    }
+}
+
+/// A folder of the file system.
+struct Folder(PathBuf);
+
+/// What the name of a file ends with while it is written.
+const HALF: &str = ".half";
+
+impl Folder {
+    /// Removes what a process that died left half-written.
+    fn sweep(&self) -> io::Result<()> {
+        for entry in fs::read_dir(&self.0)? {
+            let path = entry?.path();
+            if path.to_string_lossy().ends_with(&format!("{}{HALF}", jaspershunt_capture::sink::ENDING)) {
+                fs::remove_file(path)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn put(&self, half: &Path, parts: &[&[u8]]) -> io::Result<()> {
+        let mut file = File::create(half)?;
+        for part in parts {
+            file.write_all(part)?;
+        }
+        file.sync_all()
+    }
+}
+
+impl Disk for Folder {
+    fn write(&mut self, name: &str, parts: &[&[u8]]) -> io::Result<()> {
+        let half = self.0.join(format!("{name}{HALF}"));
+        let written = self.put(&half, parts).and_then(|()| fs::rename(&half, self.0.join(name)));
+        if written.is_err() {
+            // Nothing is left of what was not written whole; where even that fails, the next start sweeps.
+            let _ = fs::remove_file(&half);
+        }
+        written
+    }
+
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        fs::read_dir(&self.0)?.map(|entry| Ok(entry?.file_name().to_string_lossy().into_owned())).collect()
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.0.join(name))
+    }
+}
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,5 +1,7 @@
 //! The command line.
 
+pub mod capture;
+
 use crate::log::Form;
 use crate::{config, log};
 use clap::{Parser, Subcommand};
@@ -36,6 +38,9 @@
         #[arg(long, value_name = "FILE", env = "NODE_CONFIG")]
         config: Option<String>,
     },
+    /// Look at captures: replay them, sum them up, tell the story of a request.
+    #[command(subcommand)]
+    Capture(capture::Captures),
     /// Write an operator's file out with every default filled in.
     Explain {
         /// The operator's file, in HCL.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -205,6 +205,9 @@
         if !file.dependency.is_empty() {
             self.bounds.kept -= file.kept.bytes.0 as usize;
         }
+        if let Some(capture) = &file.capture {
+            self.bounds.kept -= capture.ring.0 as usize;
+        }
         self.operator = Some(Rc::new(file));
         Ok(self)
     }
@@ -231,9 +234,18 @@
                 let most = running.kept.bytes;
                 wrong.push(format!("kept.bytes: was {most} at the start, and grows with a restart only"));
             }
+            if file.capture != running.capture {
+                wrong.push("capture: changes with a restart only".to_string());
+            }
             return wrong;
         }
         let most = self.bounds.kept / OPERATOR_KEPT_PART;
+        if let Some(capture) = file.capture.as_ref().filter(|capture| capture.ring.0 as usize > most) {
+            let ring = capture.ring;
+            wrong.push(format!(
+                "capture.ring: is {ring}, and must be {most}B at most: a part of what limits.memory_mb leaves"
+            ));
+        }
         if !file.dependency.is_empty() && file.kept.bytes.0 as usize > most {
             wrong
                 .push(format!("kept.bytes: must be {most}B at most: a part of what limits.memory_mb leaves"));
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -5,6 +5,7 @@
 //! elsewhere it hands to the tasks of the interpreter, the database, the directory and the connections.
 
 use crate::admin::{Desk, Order};
+use crate::capture::Capture;
 use crate::clock::Clock;
 use crate::config::{Config, Facts};
 use crate::counts::Ended;
@@ -15,6 +16,8 @@
 use crate::log;
 use crate::request::{Answer, Key, Label, Reply, ReplyTo, Work};
 use jaspershunt::{Action, Controller, Event, Gauges, Halt, Outcome, Repeat, Request, RequestId, Settings};
+use jaspershunt_capture::record::Head;
+use jaspershunt_capture::tap::Reason;
 use jaspershunt_settings::{Names, gauge_mut, merge};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -170,6 +173,10 @@
     calls: u64,
     /// What decides on calls where the operator's file names dependencies.
     several: Option<Several>,
+    /// What records all of this, where the operator's file wants that.
+    capture: Option<Capture>,
+    /// Beyond this the table of keys is pressed for memory.
+    pressed_from: usize,
     /// Wakes that wait for the gauges, and the tag under which those were asked for.
     wakes: Vec<u64>,
     tag: u64,
@@ -187,9 +194,11 @@
         let mut settings = config.settings.clone();
         let several = Several::new(config, Duration::from_secs_f64(CLOCK_START), &mut settings);
         ways.desk.counts.borrow_mut().name(settings.classes.iter().map(|class| class.name.as_str()));
+        let epoch = clock.now() - CLOCK_START;
+        let capture = capture_of(config, epoch, &settings);
         Engine {
             clock,
-            epoch: clock.now() - CLOCK_START,
+            epoch,
             now: CLOCK_START,
             settings,
             names: config.names.clone(),
@@ -208,6 +217,8 @@
             link_up: false,
             calls: 0,
             several,
+            capture,
+            pressed_from: config.bounds.kept / 4 * 3,
             wakes: Vec::new(),
             tag: 0,
             owed: 0,
@@ -244,6 +255,7 @@
                 // An error means that the caller did not wait.
                 let _ = done.send(());
             }
+            Order::WriteCapture => self.write_capture(Reason::Asked),
             Order::Settings { facts, done } => {
                 let _ = done.send(self.take_up_settings(&facts));
                 // The module hears of it in a step of its own, before any request that came with it.
@@ -252,6 +264,13 @@
         }
     }
 
+    /// Has what was captured written out, if anything is.
+    fn write_capture(&mut self, reason: Reason) {
+        if let Some(capture) = &mut self.capture {
+            capture.write_out(reason);
+        }
+    }
+
     /// Takes up settings that were read anew. Requests that are open keep what they came with, in its place.
     fn take_up_settings(&mut self, facts: &Facts) -> Result<(), String> {
         if self.several.is_some() {
@@ -307,7 +326,23 @@
         while !self.events.is_empty() {
             let events = std::mem::take(&mut self.events);
             let Some(module) = &mut self.module else { break };
+            let Some(capture) = &mut self.capture else {
+                module.step(self.now, &events, &mut actions);
+                actions.drain(..).for_each(|action| self.carry_out(action));
+                continue;
+            };
+            capture.press(self.keys.bytes() > self.pressed_from);
+            capture.begin(self.now, module);
             module.step(self.now, &events, &mut actions);
+            let name = |event: &Event| match event {
+                Event::Arrived(request) => {
+                    let entry = self.requests.get(&request.id)?;
+                    Some((request.id, entry.uid.to_string()))
+                }
+                _ => None,
+            };
+            let names = events.iter().filter_map(name).collect();
+            capture.round(self.now, names, events, &actions);
             for action in actions.drain(..) {
                 self.carry_out(action);
             }
@@ -794,6 +829,7 @@
         {
             if self.keys.run(&key).is_some() {
                 log!(ERROR, "request {} must not run: another try of it did", entry.uid);
+                self.write_capture(Reason::Guard);
                 return self.follow(id);
             }
             let window = match self.settings.classes[entry.class].repeat {
@@ -828,6 +864,7 @@
         let key_ran = entry.key.as_ref().is_some_and(|key| self.keys.run(key).is_some());
         if unsafe_ran || key_ran {
             log!(ERROR, "request {} must not be turned away: it ran", entry.uid);
+            self.write_capture(Reason::Guard);
             self.answer(id, Answer::Failed);
         } else {
             self.answer(id, Answer::Refused { stay_away, last });
@@ -872,5 +909,20 @@
     }
 }
 
+/// What records the decisions, where the operator's file wants that. A nodo whose captures cannot be written serves all the
+/// same.
+fn capture_of(config: &Config, epoch: f64, settings: &Settings) -> Option<Capture> {
+    let wanted = config.operator.as_ref()?.capture.as_ref()?;
+    let version = env!("CARGO_PKG_VERSION").to_string();
+    let head = Head { version, nodo: config.name.clone(), epoch, settings: settings.clone() };
+    match Capture::start(wanted, head) {
+        Ok(capture) => Some(capture),
+        Err(e) => {
+            log!(WARN, "capture.folder: {} cannot be used: {e}; nothing is captured", wanted.folder);
+            None
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -351,3 +351,66 @@
         assert_eq!(rig.commands(), ["apply 7"]);
     });
 }
+
+/// Guards against operators who wait behind requests: an order is obeyed before anything of a full queue is taken.
+#[test]
+fn operators_are_heard_before_a_full_queue_of_requests() {
+    paused(async {
+        let mut rig = Rig::new();
+        let (input, inputs) = mpsc::channel(QUEUE);
+        let (orders, to_engine) = mpsc::channel(1);
+        for ticket in 0..QUEUE {
+            let reply = ReplyTo::new(rig.reply_to.clone(), ticket as u16);
+            input.try_send(Input::Check { reply }).unwrap();
+        }
+        let (done, taken) = oneshot::channel();
+        orders.try_send(Order::Lameduck { on: true, done }).unwrap();
+        tokio::task::spawn_local(rig.engine.run(inputs, to_engine));
+        taken.await.unwrap();
+        let (ticket, first) = rig.replies.recv().await.unwrap();
+        assert_eq!(
+            (ticket, first.answer),
+            (0, Answer::Health { good: false }),
+            "it was taken before the first check"
+        );
+    });
+}
+
+/// Settings change again and again while requests come, wait and run: each gets one answer, and the figures agree.
+#[test]
+fn settings_that_change_in_a_storm_lose_no_request() {
+    paused(async {
+        let mut rig = Rig::new();
+        let mut answered = std::collections::BTreeMap::new();
+        for n in 0..200u64 {
+            let class = rig.engine.names.class("read").unwrap();
+            let work = [2 * n + 1, 2 * n + 2].map(|id| rig.work(id, class, 0.0));
+            rig.engine.round(work);
+            let text = SETTINGS.replacen("\"deadlineS\":4", &format!("\"deadlineS\":{}", 3 + n % 5), 1);
+            let (settings, names) = jaspershunt_settings::read(&text, "settings").unwrap();
+            let (done, mut taken) = oneshot::channel();
+            rig.engine.obey(Order::Settings { facts: Rc::new(Facts { settings, names }), done });
+            assert_eq!(taken.try_recv(), Ok(Ok(())), "change {n}");
+            for command in rig.commands() {
+                if let Some(digit) = command.strip_prefix("apply ") {
+                    // Every other run ends at once, whatever its class is called now.
+                    let of = |id: &u64| format!("{id:016x}")[15..] == *digit;
+                    let open: Vec<u64> = rig.engine.requests.keys().map(|id| id.0).filter(of).collect();
+                    for id in open.into_iter().filter(|id| id % 2 == 0) {
+                        let end = rig.value(id, RunEnd::Done(vec![1]));
+                        rig.engine.round([end]);
+                    }
+                }
+            }
+            rig.until(0.05 * (n + 1) as f64).await;
+            rig.answers().into_iter().for_each(|(id, _)| *answered.entry(id).or_insert(0) += 1);
+        }
+        rig.until(30.0).await;
+        rig.answers().into_iter().for_each(|(id, _)| *answered.entry(id).or_insert(0) += 1);
+        assert_eq!(answered.len(), 400);
+        assert!(answered.values().all(|times| *times == 1));
+        let counts = rig.engine.ways.desk.counts.borrow();
+        assert_eq!((counts.current(), counts.agree(), counts.of("read").taken), (0, true, 400));
+        assert!(rig.engine.settings.classes.len() < 20, "places are used again");
+    });
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! puts the parts together.
 
 pub mod admin;
+pub mod capture;
 pub mod cli;
 pub mod clock;
 pub mod config;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,7 @@
 //! One nodo: serves balancers until it is told to leave; and what an operator needs beside it.
 
 use clap::Parser;
-use jaspershunt_node::admin::{self, Desk};
+use jaspershunt_node::admin::{self, Desk, Order};
 use jaspershunt_node::cli::{self, Cli, Command, Serve};
 use jaspershunt_node::clock::Clock;
 use jaspershunt_node::config::{self, Config};
@@ -28,6 +28,7 @@
         Some(Command::Serve(how)) => serve(&how),
         Some(Command::Check { file, config }) => cli::check(&file, config.as_deref()),
         Some(Command::Explain { file, json }) => cli::write_out(&file, json),
+        Some(Command::Capture(what)) => cli::capture::run(&what),
     }
 }
 
@@ -84,6 +85,16 @@
                     _ = interrupt.recv() => {}
                 }
             };
+            // Without captures the signal does what it does to any program.
+            if config.operator.as_ref().is_some_and(|file| file.capture.is_some()) {
+                let mut asked = signal(SignalKind::user_defined1())?;
+                let orders = to_engine.clone();
+                spawn_local(async move {
+                    while asked.recv().await.is_some() {
+                        let _ = orders.send(Order::WriteCapture).await;
+                    }
+                });
+            }
             let (moves, peers) = watch::channel(config.peers);
             let (operators, operator) = watch::channel(None);
             let mut running = config.clone();
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -62,6 +62,10 @@
     #[serde(default)]
     #[garde(dive)]
     pub kept: Kept,
+    /// Captures of what was decided; none where it is left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(dive)]
+    pub capture: Option<Capture>,
 }
 
 /// One thing that lies below, and what this nodo may ask of it.
@@ -255,6 +259,35 @@
     pub bytes: Size,
 }
 
+/// Captures of all that was decided on, for afterwards.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Capture {
+    /// Where files go.
+    #[garde(length(min = 1, max = 4096))]
+    pub folder: String,
+    /// Memory for what was decided last; it is written out on SIGUSR1, when a guard keeps a rule, and when refusals jump.
+    #[serde(default = "defaults::ring")]
+    #[garde(custom(at_least_size(256 * 1024)))]
+    pub ring: Size,
+    /// Whether all is written, not only when there is a reason.
+    #[serde(default)]
+    #[garde(skip)]
+    pub all: bool,
+    /// Files that are kept; the oldest go.
+    #[serde(default = "defaults::files")]
+    #[garde(range(min = 1, max = 10_000))]
+    pub files: usize,
+    /// The decision state goes along this often; a replay can begin at each.
+    #[serde(default = "defaults::snapshot")]
+    #[garde(custom(at_least_ms(100)))]
+    pub snapshot: Span,
+    /// Refusals have jumped when they are this part of a second's requests, and twice that of before.
+    #[serde(default = "defaults::half")]
+    #[garde(custom(above_nothing))]
+    pub refusals: Share,
+}
+
 impl Default for Limit {
     fn default() -> Limit {
         let (start, least) = (defaults::limit_start(), defaults::limit_least());
@@ -363,6 +396,15 @@
     pub fn attempts() -> usize {
         3
     }
+    pub fn ring() -> Size {
+        Size(1024 * 1024)
+    }
+    pub fn files() -> usize {
+        8
+    }
+    pub fn snapshot() -> Span {
+        Span::ms(10_000)
+    }
     pub fn kept_bytes() -> Size {
         Size(1024 * 1024)
     }
--- a/deploy/operator-example.hcl
+++ b/deploy/operator-example.hcl
@@ -83,3 +83,13 @@
 kept {
   bytes = "1MiB"
 }
+
+# Captures of what was decided, for afterwards; none without this block.
+capture {
+  folder   = "/var/lib/jaspershunt/captures" # needed
+  ring     = "1MiB"  # memory for what was decided last; written on SIGUSR1, when a guard keeps a rule, when refusals jump
+  all      = false   # write everything, not only when there is a reason
+  files    = 8       # files that are kept; the oldest go
+  snapshot = "10s"   # the decision state goes along this often; a replay can begin at each
+  refusals = "50%"   # a jump: this part of a second's requests, and twice that of before
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,5 +56,5 @@
 mod state;
 
 pub use api::*;
-pub use logic::Controller;
+pub use logic::{Controller, Figures};
 pub use snapshot::SnapshotError;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,6 +12,8 @@
 use std::collections::VecDeque;
 
 mod adopt;
+mod figures;
+pub use figures::Figures;
 
 /// s; T_m, over which finished requests are counted. The design page's, after the paper's 100 ms.
 const MEASURE_EVERY: f64 = 0.1;
