Capture the table of keys and the decisions on dependencies beside the module

Need: a whole decision, from request to refusal, is to be followed; the capture had the module alone.

States and steps go into captures, and a replay asks the same and compares. Results stand by their lengths and bodies by prints of the same length, so that nothing confidential is in a capture and it replays all the same; for that, kept replies that go at one moment go in the order in which they came, no longer in that of their bodies.

--- a/crates/capture/src/edit.rs
+++ b/crates/capture/src/edit.rs
@@ -2,9 +2,10 @@
 
 use crate::format::{self, Unreadable};
 use crate::reader::Part;
-use crate::record::{Head, Record, Round};
+use crate::record::{Head, Record, Round, SideStates};
 use crate::recorder::{Limits, Recorder};
-use std::collections::BTreeMap;
+use jaspershunt_keys::Key;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The part of a capture from the last state at or before `from` to the first block that ends at or after `to`, on the
 /// module's clock, as a capture of its own. Blocks go over as they are. `None` if no state stands before the part.
@@ -48,24 +49,28 @@
     Ok(out)
 }
 
-/// A capture in which what the peers call requests is replaced, the same name by the same word throughout. What decisions
-/// rest on stays, so that it replays as the original does.
+/// A capture in which what the peers call requests, and the keys of operations, are replaced: the same name by the same word
+/// throughout. What decisions rest on stays, so that it replays as the original does; keys keep their lengths and their
+/// order for that, as both have a say in what makes room for what.
 ///
 /// # Errors
 /// The bytes are no capture, or a block cannot be written again.
 pub fn redact(bytes: &[u8]) -> Result<Vec<u8>, Unreadable> {
+    let mut blocks = Vec::new();
+    for part in crate::reader::parts(bytes)? {
+        if let Part::Block { head, records, .. } = part {
+            blocks.push((head, records));
+        }
+    }
+    let mut keys = BTreeSet::new();
+    blocks.iter_mut().flat_map(|(_, records)| records).for_each(|record| gather_keys(record, &mut keys));
+    let words: BTreeMap<Key, Key> = keys.into_iter().enumerate().map(|(n, key)| word_for(n, key)).collect();
     let mut names: BTreeMap<String, String> = BTreeMap::new();
     let mut out = format::file_head().to_vec();
-    for part in crate::reader::parts(bytes)? {
-        let Part::Block { head, records, .. } = part else { continue };
+    for (head, records) in blocks {
         let mut payload = Vec::new();
         for mut record in records {
-            if let Record::Round(round) = &mut record {
-                for (_, name) in &mut round.names {
-                    let word = format!("r{}", names.len() + 1);
-                    *name = names.entry(std::mem::take(name)).or_insert(word).clone();
-                }
-            }
+            hide(&mut record, &words, &mut names);
             format::put_record(&mut payload, &record)?;
         }
         format::put_block(&mut out, head, &payload)?;
@@ -73,5 +78,47 @@
     Ok(out)
 }
 
+/// A word of the same length, in the order of the numbers. One that is too short for its number is longer.
+fn word_for(number: usize, key: Key) -> (Key, Key) {
+    let digits = key.len().saturating_sub(1);
+    let word = format!("k{number:0digits$}");
+    (key, word.into())
+}
+
+fn gather_keys(record: &mut Record, keys: &mut BTreeSet<Key>) {
+    match record {
+        Record::Sides(sides) => {
+            keys.extend(sides.keys.iter_mut().filter_map(|step| step.call.key_mut().map(|key| key.clone())));
+        }
+        Record::SideStates(states) => {
+            if let (Some(table), _) = states.load() {
+                keys.extend(table.entries().map(|(key, ..)| key.clone()));
+            }
+        }
+        _ => {}
+    }
+}
+
+fn hide(record: &mut Record, words: &BTreeMap<Key, Key>, names: &mut BTreeMap<String, String>) {
+    let word = |key: &Key| words.get(key).cloned().unwrap_or_else(|| "k".into());
+    match record {
+        Record::Round(round) => {
+            for (_, name) in &mut round.names {
+                let word = format!("r{}", names.len() + 1);
+                *name = names.entry(std::mem::take(name)).or_insert(word).clone();
+            }
+        }
+        Record::Sides(sides) => {
+            sides.keys.iter_mut().filter_map(|step| step.call.key_mut()).for_each(|key| *key = word(key));
+        }
+        Record::SideStates(states) => {
+            if let (Some(table), below) = states.load() {
+                *states = SideStates::of(&table.renamed(word), below.as_ref());
+            }
+        }
+        _ => {}
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/capture/src/record.rs
+++ b/crates/capture/src/record.rs
@@ -1,6 +1,8 @@
 //! What a capture holds.
 
 use jaspershunt::{Action, Event, RequestId, Settings};
+use jaspershunt_dependencies::{Dependencies, tape::Step as BelowStep};
+use jaspershunt_keys::{Keys, tape::Step as KeyStep};
 use serde::{Deserialize, Serialize};
 
 /// One thing in a capture, in the order in which it happened.
@@ -12,6 +14,10 @@
     Snapshot(Vec<u8>),
     /// One step of the module.
     Round(Round),
+    /// The state beside the module's, at the moment of the snapshot before it.
+    SideStates(SideStates),
+    /// What was asked of the table of keys and of the decisions on dependencies, around the rounds before.
+    Sides(Sides),
     /// Rounds that could not be kept: what made records was faster than what takes them.
     Gap {
         /// How many rounds.
@@ -32,6 +38,50 @@
     pub settings: Settings,
 }
 
+/// The state beside the module's.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SideStates {
+    /// The table of keys, in postcard: results by their lengths.
+    pub keys: Vec<u8>,
+    /// The decisions on dependencies, in CBOR since they hold their configuration: bodies by their prints. Empty where the
+    /// operator's file names none.
+    pub below: Vec<u8>,
+}
+
+impl SideStates {
+    /// The states as bytes; `below` has no bodies in it.
+    pub fn of(keys: &Keys, below: Option<&Dependencies>) -> SideStates {
+        let mut bytes = Vec::new();
+        if let Some(below) = below {
+            // Writing into memory fails for nothing that the state holds.
+            let _ = ciborium::into_writer(below, &mut bytes);
+        }
+        SideStates { keys: postcard::to_stdvec(keys).unwrap_or_default(), below: bytes }
+    }
+
+    /// The states again; `None` for one that is not there or not understood.
+    pub fn load(&self) -> (Option<Keys>, Option<Dependencies>) {
+        (postcard::from_bytes(&self.keys).ok(), ciborium::from_reader(&self.below[..]).ok())
+    }
+}
+
+/// What was asked beside the module.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sides {
+    /// Of the table of keys.
+    pub keys: Vec<KeyStep>,
+    /// Of the decisions on dependencies.
+    pub below: Vec<BelowStep>,
+}
+
+impl Sides {
+    /// The record of it, as it stands in a block.
+    pub fn encode(self) -> Vec<u8> {
+        // Writing into memory fails for nothing that a step holds.
+        postcard::to_stdvec(&Record::Sides(self)).unwrap_or_default()
+    }
+}
+
 /// One step of the module.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Round {
--- a/crates/capture/src/recorder.rs
+++ b/crates/capture/src/recorder.rs
@@ -1,7 +1,7 @@
 //! Gathers records into blocks. It decides when a block ends and when one begins with a snapshot; it writes nothing.
 
 use crate::format::{self, BlockHead, Unreadable};
-use crate::record::{Head, Record, Round};
+use crate::record::{Head, Record, Round, SideStates};
 
 /// When blocks end.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -83,6 +83,25 @@
         Ok(())
     }
 
+    /// The state beside the module's goes along with a snapshot.
+    ///
+    /// # Errors
+    /// None that a state can cause; what the library reports is passed on.
+    pub fn side_states(&mut self, states: SideStates) -> Result<(), Unreadable> {
+        self.put(&Record::SideStates(states))
+    }
+
+    /// Something was asked beside the module, as [`Sides::encode`](crate::record::Sides::encode) has it. Returns a block that
+    /// is whole with it.
+    ///
+    /// # Errors
+    /// None that steps can cause; what the library reports is passed on.
+    pub fn sides(&mut self, encoded: &[u8]) -> Result<Option<Vec<u8>>, Unreadable> {
+        self.records += 1;
+        self.payload.extend(encoded);
+        if self.payload.len() >= self.limits.block_bytes { self.end_block().map(Some) } else { Ok(None) }
+    }
+
     /// A round was made. Returns a block that is whole with it.
     ///
     /// # Errors
@@ -91,8 +110,7 @@
         self.from.get_or_insert(round.now);
         self.to = round.now;
         self.put(&Record::Round(round.clone()))?;
-        // A snapshot that is due ends the block before it.
-        if self.payload.len() >= self.limits.block_bytes || round.now >= self.next_snapshot {
+        if self.payload.len() >= self.limits.block_bytes {
             return self.end_block().map(Some);
         }
         Ok(None)
--- a/crates/capture/src/replay.rs
+++ b/crates/capture/src/replay.rs
@@ -1,8 +1,10 @@
 //! Runs the present decision code against what was told, and stops at the first decision that differs.
 
 use crate::reader::Part;
-use crate::record::{Record, Round};
+use crate::record::{Record, Round, SideStates, Sides};
 use jaspershunt::{Action, Controller};
+use jaspershunt_dependencies::Dependencies;
+use jaspershunt_keys::Keys;
 use std::fmt;
 
 /// Rounds that are shown before one that differs.
@@ -17,12 +19,16 @@
     pub skipped: u64,
     /// Rounds that the capture says it does not have.
     pub missing: u64,
+    /// Steps beside the module, of keys and of dependencies, that are the same.
+    pub same_beside: u64,
     /// Snapshots from which a replay began, or which a replay reached and found the same.
     pub snapshots: u64,
     /// Places that are torn or spoilt.
     pub spoilt: Vec<String>,
     /// The first difference, if there is one.
     pub differs: Option<Difference>,
+    /// The first step beside the module that differs.
+    pub differs_beside: Option<String>,
 }
 
 /// A decision that differs.
@@ -69,6 +75,8 @@
 #[derive(Default)]
 pub struct Replay {
     module: Option<Controller>,
+    keys: Option<Keys>,
+    below: Option<Dependencies>,
     before: Vec<Round>,
     so_far: Replayed,
     last_block: Option<u64>,
@@ -85,16 +93,16 @@
         match part {
             Part::Spoilt { offset, length, why } => {
                 self.so_far.spoilt.push(format!("{length} bytes at {offset}: {why}"));
-                self.module = None;
+                self.lose();
             }
             Part::Block { head, records, .. } => {
                 // A block that is missing as a whole breaks the row as a spoilt one does.
                 if self.last_block.is_some_and(|last| last + 1 != head.number) {
-                    self.module = None;
+                    self.lose();
                 }
                 self.last_block = Some(head.number);
                 for record in records {
-                    if self.so_far.differs.is_none() {
+                    if self.so_far.differs.is_none() && self.so_far.differs_beside.is_none() {
                         self.record(record);
                     }
                 }
@@ -107,7 +115,7 @@
             Record::Head(_) => {}
             Record::Gap { rounds } => {
                 self.so_far.missing += rounds;
-                self.module = None;
+                self.lose();
             }
             Record::Snapshot(state) => match Controller::load(state) {
                 Ok(loaded) => {
@@ -125,10 +133,53 @@
                     self.module = None;
                 }
             },
+            Record::SideStates(states) => self.side_states(states),
+            Record::Sides(sides) => self.sides(sides),
             Record::Round(round) => self.round(round),
         }
     }
 
+    /// What comes next stands on nothing.
+    fn lose(&mut self) {
+        (self.module, self.keys, self.below) = (None, None, None);
+    }
+
+    fn side_states(&mut self, states: &SideStates) {
+        // A replay that goes on from before must have come to the very same states.
+        if let Some(keys) = &self.keys {
+            let reached = SideStates::of(keys, self.below.as_ref());
+            if reached != *states {
+                let what = if reached.keys == states.keys { "dependencies" } else { "keys" };
+                self.so_far.spoilt.push(format!("the state of {what} replayed is not that of the snapshot"));
+            }
+        }
+        (self.keys, self.below) = states.load();
+    }
+
+    fn sides(&mut self, sides: &Sides) {
+        for step in &sides.keys {
+            let Some(keys) = &mut self.keys else { break };
+            let came = step.call.apply(keys);
+            if came != step.came {
+                self.so_far
+                    .differs_beside
+                    .get_or_insert(format!("{:?}: captured {:?}, now {came:?}", step.call, step.came));
+                return;
+            }
+            self.so_far.same_beside += 1;
+        }
+        for step in &sides.below {
+            let Some(below) = &mut self.below else { break };
+            let asks = step.told.tell(below, step.now);
+            if asks != step.asked {
+                let what = format!("{:?}: captured {:?}, now {asks:?}", step.told, step.asked);
+                self.so_far.differs_beside.get_or_insert(what);
+                return;
+            }
+            self.so_far.same_beside += 1;
+        }
+    }
+
     fn round(&mut self, round: &Round) {
         let Some(module) = &mut self.module else {
             self.so_far.skipped += 1;
--- a/crates/capture/src/rules.rs
+++ b/crates/capture/src/rules.rs
@@ -97,7 +97,7 @@
     fn record(&mut self, record: &Record) {
         match record {
             Record::Head(head) => self.settings = Some(head.settings.clone()),
-            Record::Snapshot(_) => {}
+            Record::Snapshot(_) | Record::SideStates(_) | Record::Sides(_) => {}
             Record::Gap { .. } => self.known.clear(),
             Record::Round(round) => {
                 if let Some(settings) = self.settings.take() {
--- a/crates/capture/src/sink.rs
+++ b/crates/capture/src/sink.rs
@@ -91,18 +91,22 @@
                 self.recorder.missed(rounds);
                 Ok(None)
             }
-            Piece::Snapshot { now, state } => {
+            Piece::Snapshot { now, state, sides } => {
                 // A state begins a block.
                 let before = self.recorder.flush();
                 if let Ok(Some(block)) = before {
                     self.keep(block);
                 }
-                self.recorder.snapshot(now, state).map(|()| None)
+                let taken = self.recorder.snapshot(now, state);
+                taken
+                    .and_then(|()| sides.map_or(Ok(()), |sides| self.recorder.side_states(sides)))
+                    .map(|()| None)
             }
             Piece::Round(round) => {
                 self.now = round.now;
                 self.recorder.round(&round)
             }
+            Piece::Sides(encoded) => self.recorder.sides(&encoded),
             Piece::WriteOut(reason) => return Some(self.write_out(reason)),
             Piece::Shrink(most) => {
                 self.ring.bound(most);
--- a/crates/capture/src/sink/tests.rs
+++ b/crates/capture/src/sink/tests.rs
@@ -37,7 +37,7 @@
     for number in rounds {
         let now = number as f64 / 10.0;
         if number % 10 == 0 {
-            told.extend(sink.take(Piece::Snapshot { now, state: module.save() }));
+            told.extend(sink.take(Piece::Snapshot { now, state: module.save(), sides: None }));
         }
         let events =
             vec![Event::Woke { token: 0, gauges: Gauges { core_use: Some(now), ..Gauges::default() } }];
--- a/crates/capture/src/story.rs
+++ b/crates/capture/src/story.rs
@@ -1,8 +1,9 @@
 //! The story of one request, in plain words: what came, what was decided, and the figures that it rested on.
 
 use crate::reader::Part;
-use crate::record::{Record, Round};
+use crate::record::{Record, Round, Sides};
 use jaspershunt::{Action, Controller, Event, Figures, Outcome, Repeat, Request, RequestId, Settings};
+use jaspershunt_dependencies::Action as BelowAction;
 use std::fmt::Write;
 
 /// Something that happened to the request.
@@ -60,6 +61,8 @@
                 Record::Head(head) => teller.settings = Some(head.settings.clone()),
                 Record::Gap { .. } => teller.module = None,
                 Record::Snapshot(state) => teller.module = Controller::load(state).ok(),
+                Record::SideStates(_) => {}
+                Record::Sides(sides) => teller.sides(sides),
                 Record::Round(round) => {
                     teller.round(round, wanted, number);
                     if teller.story.as_ref().is_some_and(|story| story.ended) {
@@ -92,6 +95,18 @@
         }
     }
 
+    /// What the decisions on dependencies say of the calls is in how they end; what they note of themselves is told while the
+    /// request is open.
+    fn sides(&mut self, sides: &Sides) {
+        for step in &sides.below {
+            for action in &step.asked {
+                if let BelowAction::Note(text) = action {
+                    self.tell(step.now.as_secs_f64(), format!("meanwhile: {text}"));
+                }
+            }
+        }
+    }
+
     fn tell(&mut self, at: f64, what: String) {
         if let Some(story) = &mut self.story {
             story.moments.push(Moment { at, what });
--- a/crates/capture/src/summary.rs
+++ b/crates/capture/src/summary.rs
@@ -100,7 +100,7 @@
                 self.epoch = *epoch;
                 self.settings = Some(settings.clone());
             }
-            Record::Snapshot(_) => {}
+            Record::Snapshot(_) | Record::SideStates(_) | Record::Sides(_) => {}
             Record::Gap { rounds } => {
                 self.summary.missing += rounds;
                 self.summary.gaps += 1;
--- a/crates/capture/src/tap.rs
+++ b/crates/capture/src/tap.rs
@@ -2,7 +2,7 @@
 //! what cannot be handed over. It never waits: what takes records may be slower than what makes them, and then rounds are
 //! missing, which the capture says, and the next thing in it is the state.
 
-use crate::record::Round;
+use crate::record::{Round, SideStates};
 use jaspershunt::{Action, Event};
 use std::mem::size_of;
 
@@ -15,9 +15,14 @@
     Snapshot {
         /// The time.
         now: f64,
-        /// The state.
+        /// The module's state.
         state: Vec<u8>,
+        /// The state beside it.
+        sides: Option<SideStates>,
     },
+    /// What was asked beside the module, as [`Sides::encode`](crate::record::Sides::encode) has it: keys and bodies are shared on the engine's thread, and
+    /// cannot leave it as they are.
+    Sides(Vec<u8>),
     /// A round.
     Round(Round),
     /// Write out what is kept, for this reason.
@@ -58,15 +63,11 @@
     /// The memory that it takes while it waits, about; never less than it does but for names.
     pub fn weight(&self) -> usize {
         match self {
-            Piece::Snapshot { state, .. } => size_of::<Piece>() + state.len(),
-            Piece::Round(round) => {
-                let names: usize =
-                    round.names.iter().map(|(_, name)| size_of::<(u64, String)>() + name.len()).sum();
-                size_of::<Piece>()
-                    + names
-                    + round.events.len() * size_of::<Event>()
-                    + round.actions.len() * size_of::<Action>()
+            Piece::Snapshot { state, sides, .. } => {
+                let sides = sides.as_ref().map_or(0, |sides| sides.keys.len() + sides.below.len());
+                size_of::<Piece>() + state.len() + sides
             }
+            Piece::Sides(bytes) => size_of::<Piece>() + bytes.len(),
             _ => size_of::<Piece>(),
         }
     }
@@ -92,7 +93,7 @@
     pub fn begin(
         &mut self,
         now: f64,
-        state: impl FnOnce() -> Vec<u8>,
+        state: impl FnOnce() -> (Vec<u8>, Option<SideStates>),
         mut hand_over: impl FnMut(Piece) -> bool,
     ) -> bool {
         if self.missed > 0 {
@@ -104,7 +105,8 @@
             self.next_snapshot = f64::NEG_INFINITY;
         }
         if now >= self.next_snapshot {
-            if !hand_over(Piece::Snapshot { now, state: state() }) {
+            let (state, sides) = state();
+            if !hand_over(Piece::Snapshot { now, state, sides }) {
                 return false;
             }
             self.next_snapshot = now + self.every;
--- a/crates/capture/src/tap/tests.rs
+++ b/crates/capture/src/tap/tests.rs
@@ -18,7 +18,7 @@
             }
             taken
         };
-        let open = tap.begin(now, || vec![7], &mut hand_over);
+        let open = tap.begin(now, || (vec![7], None), &mut hand_over);
         let number = tap.number();
         if !open || !hand_over(round(number, now)) {
             tap.missed();
--- a/crates/capture/src/what_if.rs
+++ b/crates/capture/src/what_if.rs
@@ -97,7 +97,7 @@
                     module = Controller::load(state).ok();
                     told = settings.clone().filter(|_| *others != Others::default());
                 }
-                Record::Snapshot(_) => {}
+                Record::Snapshot(_) | Record::SideStates(_) | Record::Sides(_) => {}
                 Record::Round(round) => {
                     if let Some(module) = &mut module {
                         let from = *began.get_or_insert(round.now);
--- a/crates/dependencies/src/breaker.rs
+++ b/crates/dependencies/src/breaker.rs
@@ -6,6 +6,7 @@
 //! not come back at the same moment.
 
 use jaspershunt_operator::Breaker as Config;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Parts of the window; the oldest is forgotten as a whole.
@@ -40,7 +41,7 @@
 }
 
 /// Where the breaker stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// Calls are made.
     Closed,
@@ -58,7 +59,7 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 struct Part {
     number: u64,
     calls: u32,
@@ -67,7 +68,7 @@
 }
 
 /// The breaker of one dependency.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Breaker {
     config: Config,
     state: State,
--- a/crates/dependencies/src/budget.rs
+++ b/crates/dependencies/src/budget.rs
@@ -5,6 +5,7 @@
 use crate::limit::Learned;
 use crate::{CallId, Room};
 use jaspershunt_operator::Dependency as Config;
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
 const BURST: f64 = 0.1;
 
 /// A dependency and all that is counted of it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Dependency {
     pub name: String,
     pub config: Config,
@@ -48,7 +49,7 @@
 }
 
 /// What became of calls at one dependency, since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
     /// Attempts made.
     pub attempts: u64,
--- a/crates/dependencies/src/calls.rs
+++ b/crates/dependencies/src/calls.rs
@@ -9,6 +9,7 @@
 use crate::{Action, AttemptId, CallId, End, Room, Status, Wanted};
 use jaspershunt::Outcome;
 use jaspershunt_operator::File;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,7 +20,7 @@
 /// An attempt that has less time left than this is not begun.
 const LEAST_LEFT: Duration = Duration::from_millis(1);
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 enum Place {
     /// In the line of its dependency.
     Waits,
@@ -29,7 +30,7 @@
     Nowhere,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Call {
     asked: Asked,
     kb: f64,
@@ -48,7 +49,7 @@
 }
 
 /// The owner of all these decisions; see the crate's front page.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Dependencies {
     classes: Vec<String>,
     routes: Routes,
@@ -525,6 +526,14 @@
         }
     }
 
+    /// The same with other bodies; `mask` keeps lengths, and what is equal. Nothing is decided by what a body says.
+    pub(crate) fn masked(&self, mask: impl Fn(&[u8]) -> Rc<[u8]>) -> Dependencies {
+        let mut masked = self.clone();
+        masked.calls.values_mut().for_each(|call| call.asked.body = mask(&call.asked.body));
+        masked.kept = self.kept.masked(mask);
+        masked
+    }
+
     /// Checks what must always hold.
     ///
     /// # Errors
--- a/crates/dependencies/src/kept.rs
+++ b/crates/dependencies/src/kept.rs
@@ -1,7 +1,8 @@
 //! Replies kept to fall back on, bounded in age and bytes. A reply is known by the whole call that it answered (class,
 //! place in the run, body): with less, one subject could get what belongs to another.
 
-use std::collections::{BTreeMap, BTreeSet};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 const ENTRY_BYTES: usize = 200;
 
 /// What a reply answered.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Asked {
     /// The class of the request.
     pub class: usize,
@@ -19,18 +20,21 @@
     pub body: Rc<[u8]>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Entry {
     reply: Rc<[u8]>,
     since: Duration,
     until: Duration,
+    /// When it was put, in order; of two that go at one time the first put goes first.
+    turn: u64,
 }
 
 /// The replies.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Kept {
     entries: BTreeMap<Asked, Entry>,
-    ends: BTreeSet<(Duration, Asked)>,
+    ends: BTreeMap<(Duration, u64), Asked>,
+    turns: u64,
     bytes: usize,
     most: usize,
 }
@@ -67,8 +71,10 @@
         self.make_room(bytes);
         self.bytes += bytes;
         let until = now + lasting;
-        self.ends.insert((until, asked.clone()));
-        self.entries.insert(asked, Entry { reply, since: now, until });
+        self.turns += 1;
+        let turn = self.turns;
+        self.ends.insert((until, turn), asked.clone());
+        self.entries.insert(asked, Entry { reply, since: now, until, turn });
     }
 
     /// The reply to a call that is no older than this, and when it came.
@@ -81,7 +87,8 @@
 
     /// Drops what is over.
     pub fn expire(&mut self, now: Duration) {
-        while let Some((_, asked)) = self.ends.first().filter(|(until, _)| *until < now).cloned() {
+        while let Some((_, asked)) = self.ends.first_key_value().filter(|((until, _), _)| *until < now) {
+            let asked = asked.clone();
             self.drop_entry(&asked);
         }
     }
@@ -89,17 +96,31 @@
     fn drop_entry(&mut self, asked: &Asked) {
         if let Some(entry) = self.entries.remove(asked) {
             self.bytes -= weight(asked, &entry.reply);
-            self.ends.remove(&(entry.until, asked.clone()));
+            self.ends.remove(&(entry.until, entry.turn));
         }
     }
 
     fn make_room(&mut self, bytes: usize) {
         while self.bytes + bytes > self.most {
-            let Some((_, asked)) = self.ends.first().cloned() else { return };
+            let Some(asked) = self.ends.first_key_value().map(|(_, asked)| asked.clone()) else { return };
             self.drop_entry(&asked);
         }
     }
 }
 
+impl Kept {
+    /// The same with other bodies; `mask` keeps lengths, and what is equal.
+    pub(crate) fn masked(&self, mask: impl Fn(&[u8]) -> Rc<[u8]>) -> Kept {
+        let asked = |asked: &Asked| Asked { body: mask(&asked.body), ..asked.clone() };
+        Kept {
+            entries: (self.entries.iter())
+                .map(|(key, entry)| (asked(key), Entry { reply: mask(&entry.reply), ..entry.clone() }))
+                .collect(),
+            ends: self.ends.iter().map(|(at, key)| (*at, asked(key))).collect(),
+            ..*self
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/dependencies/src/lib.rs
+++ b/crates/dependencies/src/lib.rs
@@ -45,25 +45,27 @@
 pub mod limit;
 pub mod retries;
 pub mod routes;
+pub mod tape;
 
 pub use budget::Counts;
 pub use calls::Dependencies;
 
 use jaspershunt::Outcome;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// A call that the module wants made. Never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallId(pub u64);
 
 /// One attempt at a call. Never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId(pub u64);
 
 /// What the nodo has for runs that are parked at calls, at all dependencies together.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Room {
     /// Runs.
     pub places: usize,
@@ -72,7 +74,7 @@
 }
 
 /// A call that is to be made.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Wanted {
     /// Its id.
     pub call: CallId,
@@ -89,7 +91,7 @@
 }
 
 /// How a call ended.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum End {
     /// With the reply of the dependency that it was to go to, or of one that stands in for it: it is complete.
     Reply {
@@ -115,7 +117,7 @@
 }
 
 /// What is asked for. To be carried out in order.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Make an attempt, and report its end with [`Dependencies::ended`].
     Attempt {
--- a/crates/dependencies/src/limit.rs
+++ b/crates/dependencies/src/limit.rs
@@ -8,6 +8,7 @@
 //! many rounds, at half the limit, as BBR does (Cardwell and others 2016): a dependency that has become slower for good
 //! is not one that is crowded, and a least that was simply forgotten would be learned from a crowd.
 
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Samples that a round has at least, so that its mean says something.
@@ -31,7 +32,7 @@
 const USED: f64 = 0.75;
 
 /// What a dependency can take, as it was learned so far.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Learned {
     start: f64,
     least: f64,
--- a/crates/dependencies/src/retries.rs
+++ b/crates/dependencies/src/retries.rs
@@ -3,12 +3,13 @@
 //! of one further, and no more can be made than were earned.
 
 use jaspershunt_operator::Retries as Config;
+use serde::{Deserialize, Serialize};
 
 /// What was earned is counted in these parts of an attempt, so that no rounding adds up.
 const PARTS: u64 = 10_000;
 
 /// The budget.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Retries {
     earned: u64,
     share: u64,
--- a/crates/dependencies/src/routes.rs
+++ b/crates/dependencies/src/routes.rs
@@ -2,11 +2,12 @@
 
 use jaspershunt_operator::check::{ANY, MAX_PLACE};
 use jaspershunt_operator::{File, Repeat};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Where a call goes first, and what may stand in for it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// The name of the dependency.
     pub to: String,
@@ -19,7 +20,7 @@
 }
 
 /// The routes of all classes, by class and place; place 0 is any.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Routes(BTreeMap<(usize, usize), Route>);
 
 impl Routes {
--- a/crates/node/src/keys.rs
+++ b/crates/keys/src/lib.rs
@@ -4,35 +4,56 @@
 //! A record of a run stays for the whole window of its key, whatever became of the run, so that no second try is run
 //! within it. Results are kept beside it as long as there is room; the oldest go first.
 
-use crate::request::Key;
+pub mod tape;
+
 use jaspershunt::RequestId;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 use std::rc::Rc;
 
+/// What names all tries of one keyed request.
+pub type Key = Rc<str>;
+
 /// What a record takes beside its key and result: the record, its places in both indexes, and their slack.
 const RECORD_BYTES: usize = 400;
 
 /// What became of the run of a key.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Run {
     /// It is not over.
     Running,
     /// It ended well, with this result.
-    Done(Rc<[u8]>),
+    Done(#[serde(serialize_with = "length", deserialize_with = "blank")] Rc<[u8]>),
     /// It failed, was stopped, or its result is not kept any more.
     Failed,
 }
 
-#[derive(Debug)]
+/// A result is saved by its length alone: room depends on that, and what it says is nobody's business but its caller's.
+fn length<S: Serializer>(result: &Rc<[u8]>, to: S) -> Result<S::Ok, S::Error> {
+    (result.len() as u64).serialize(to)
+}
+
+/// The longest result that a saved table may claim to have: far beyond any that an interpreter can tell.
+const MAX_RESULT: u64 = 1024 * 1024;
+
+fn blank<'de, D: Deserializer<'de>>(from: D) -> Result<Rc<[u8]>, D::Error> {
+    let bytes = u64::deserialize(from)?;
+    if bytes > MAX_RESULT {
+        return Err(serde::de::Error::custom("a result is too long"));
+    }
+    Ok(vec![0; bytes as usize].into())
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Ran {
     id: RequestId,
     until: u64,
     run: Run,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct Record {
     /// What stands for the class and body that all tries share.
     print: u64,
@@ -42,7 +63,7 @@
 }
 
 /// Why a try is not taken.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotTaken {
     /// There is no room to remember another key; without its record the try must not run.
     Full,
@@ -64,7 +85,7 @@
 }
 
 /// The table of keys.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Keys {
     records: BTreeMap<Key, Record>,
     /// Keys that ran, by the end of their window.
@@ -165,6 +186,17 @@
         self.records.iter().map(move |(key, r)| (key, r.print, r.ran.as_ref().map(|it| (ran(it), &it.run))))
     }
 
+    /// The same table under other names. Those of the same length, in the same order, leave every decision as it is.
+    pub fn renamed(&self, name: impl Fn(&Key) -> Key) -> Keys {
+        let all = |set: &BTreeSet<(u64, Key)>| set.iter().map(|(until, key)| (*until, name(key))).collect();
+        Keys {
+            records: self.records.iter().map(|(key, record)| (name(key), record.clone())).collect(),
+            ends: all(&self.ends),
+            results: all(&self.results),
+            ..*self
+        }
+    }
+
     /// What [`Keys::entries`] has of one key that ran.
     pub fn run_until(&self, key: &Key) -> Option<(u64, f64, &Run)> {
         let record = self.records.get(key)?;
@@ -270,6 +302,11 @@
         }
     }
 
+    /// Whether the window of some run has passed.
+    pub fn has_ended(&self, now: f64) -> bool {
+        self.ends.first().is_some_and(|(until, _)| *until < micros(now))
+    }
+
     /// Forgets the runs whose window has passed.
     pub fn expire(&mut self, now: f64) {
         while let Some((_, key)) = self.ends.first().filter(|(until, _)| *until < micros(now)).cloned() {
--- /dev/null
+++ b/crates/keys/src/tape/tests.rs
@@ -0,0 +1,59 @@
+use super::*;
+
+/// Numbers from a seed (xorshift64*), the same everywhere.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, most: u64) -> u64 {
+        self.0 ^= self.0 >> 12;
+        self.0 ^= self.0 << 25;
+        self.0 ^= self.0 >> 27;
+        (self.0.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 33) % most
+    }
+}
+
+/// A table under all that can be asked of it, full of results: what is on the tape brings another to the same state and the
+/// same decisions, from the beginning and from any state on the way; and no result is in either.
+#[test]
+fn what_is_on_the_tape_leads_to_the_same_table() {
+    for seed in 1..=20 {
+        let mut random = Random(seed * 2 + 1);
+        let mut table = Taped::new(20_000, true);
+        let mut states: Vec<(usize, Vec<u8>)> = Vec::new();
+        let mut steps: Vec<Step> = Vec::new();
+        for n in 0..600u64 {
+            if n % 100 == 0 {
+                steps.extend(table.take_tape());
+                states.push((steps.len(), postcard::to_stdvec(&*table).unwrap()));
+            }
+            let (now, id) = (n as f64 / 10.0, RequestId(n));
+            let key: Key = format!("key-{}", random.below(40)).into();
+            let earlier = RequestId(n.saturating_sub(random.below(20)));
+            match random.below(9) {
+                0..=2 => drop(table.arrived(&key, random.below(2), id, now, |id| id.0 % 2 == 0)),
+                3 => table.started(&key, earlier, now + 5.0),
+                4 => table.ended(&key, earlier, (random.below(3) > 0).then(|| vec![0xab; 900].into())),
+                5 => table.forget(&key, earlier),
+                6 => table.never_ran(&key, earlier),
+                7 => table.expire(now),
+                _ => match random.below(4) {
+                    0 => table.hold(&key, id),
+                    1 => drop(table.fail_from(RequestId(n - n % 50))),
+                    2 => table.adopt(&key, 1, id, now + 3.0, Some(Run::Done(vec![0xab; 500].into()))),
+                    _ => table.adopt(&key, 1, id, now + 3.0, None),
+                },
+            }
+            assert!(table.bytes() <= 20_000 + 40 * 500);
+        }
+        steps.extend(table.take_tape());
+        let last = postcard::to_stdvec(&*table).unwrap();
+        assert!(!last.windows(4).any(|bytes| bytes == [0xab; 4]), "a result is in the state");
+        for (from, state) in &states {
+            let mut keys: Keys = postcard::from_bytes(state).unwrap();
+            for step in &steps[*from..] {
+                assert_eq!(step.call.apply(&mut keys), step.came, "{step:?}");
+            }
+            assert_eq!(postcard::to_stdvec(&keys).unwrap(), last);
+        }
+    }
+}
--- a/crates/node/src/capture.rs
+++ b/crates/node/src/capture.rs
@@ -3,8 +3,8 @@
 //! `jaspershunt-capture`: [`Tap`] on this side, [`Sink`] on that.
 
 use crate::log;
-use jaspershunt::{Action, Controller, Event};
-use jaspershunt_capture::record::{Head, Round};
+use jaspershunt::{Action, Event};
+use jaspershunt_capture::record::{Head, Round, SideStates, Sides};
 use jaspershunt_capture::recorder::Limits;
 use jaspershunt_capture::sink::{Bounds, Disk, Sink, Told};
 use jaspershunt_capture::tap::{Jump, Piece, Reason, Tap};
@@ -78,11 +78,15 @@
         })
     }
 
-    /// A round of the module begins.
-    pub fn begin(&mut self, now: f64, module: &Controller) {
+    /// The engine begins to take things in; `states` are the states as they stand.
+    pub fn begin(&mut self, now: f64, states: impl FnOnce() -> (Vec<u8>, SideStates)) {
         let Capture { to, waiting, most_waiting, tap, .. } = self;
         let hand_over = |piece| hand_over(to.as_ref(), waiting, *most_waiting, piece);
-        self.open = tap.begin(now, || module.save(), hand_over);
+        let states = || {
+            let (module, sides) = states();
+            (module, Some(sides))
+        };
+        self.open = tap.begin(now, states, hand_over);
     }
 
     /// A round was made.
@@ -96,14 +100,27 @@
         let jumped = self.jump.round(now, &events, actions);
         let number = self.tap.number();
         let piece = Piece::Round(Round { number, now, names, events, actions: actions.to_vec() });
-        if !self.open || !hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, piece) {
-            self.tap.missed();
-        }
+        self.offer(piece);
         if jumped {
             self.write_out(Reason::Refusals);
         }
     }
 
+    /// What was asked beside the module, since the engine began to take things in.
+    pub fn sides(&mut self, sides: Sides) {
+        if !sides.keys.is_empty() || !sides.below.is_empty() {
+            self.offer(Piece::Sides(sides.encode()));
+        }
+    }
+
+    /// Hands over what stands on what came before it; behind a hole nothing does until the state has gone along again.
+    fn offer(&mut self, piece: Piece) {
+        if !self.open || !hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, piece) {
+            self.tap.missed();
+            self.open = false;
+        }
+    }
+
     /// Has what is kept written out.
     pub fn write_out(&mut self, reason: Reason) {
         if !hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, Piece::WriteOut(reason)) {
--- a/crates/node/src/cli/capture.rs
+++ b/crates/node/src/cli/capture.rs
@@ -190,8 +190,8 @@
     let result = &results[0];
     let _ = writeln!(
         text,
-        "{} rounds decide the same, {} cannot be replayed, {} are missing; {} states",
-        result.same, result.skipped, result.missing, result.snapshots
+        "{} rounds decide the same, {} cannot be replayed, {} are missing; {} states; {} steps beside the module are the same",
+        result.same, result.skipped, result.missing, result.snapshots, result.same_beside
     );
     for spoilt in &result.spoilt {
         let _ = writeln!(text, "spoilt: {spoilt}");
@@ -199,9 +199,13 @@
     if let Some(difference) = &result.differs {
         let _ = writeln!(text, "{difference}");
     }
+    if let Some(difference) = &result.differs_beside {
+        let _ = writeln!(text, "a step beside the module differs: {difference}");
+    }
     let alike = results.iter().filter(|other| *other == result).count();
     let _ = writeln!(text, "{alike} of {} replays came to this", results.len());
-    let good = result.differs.is_none() && alike == results.len() && result.same > 0;
+    let same = result.differs.is_none() && result.differs_beside.is_none();
+    let good = same && alike == results.len() && result.same > 0;
     Ok((text, if good { 0 } else { WRONG }))
 }
 
@@ -326,6 +330,8 @@
                         runs.push((head.clone(), state.clone(), Vec::new()));
                     }
                 }
+                // The module alone is played when a capture is shrunk.
+                Record::SideStates(_) | Record::Sides(_) => {}
                 Record::Round(round) => {
                     if let (Some(run), true) = (runs.last_mut(), head.is_some()) {
                         run.2.push(round.clone());
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,11 +12,12 @@
 use crate::database;
 use crate::directory::Mode;
 use crate::interpreter::{self, Command};
-use crate::keys::{Keys, NotTaken, Run, print};
+use crate::keys::tape::Taped as Keys;
+use crate::keys::{NotTaken, Run, print};
 use crate::log;
 use crate::request::{Answer, Key, Label, Reply, ReplyTo, Work};
 use jaspershunt::{Action, Controller, Event, Gauges, Halt, Outcome, Repeat, Request, RequestId, Settings};
-use jaspershunt_capture::record::Head;
+use jaspershunt_capture::record::{Head, SideStates, Sides};
 use jaspershunt_capture::tap::Reason;
 use jaspershunt_settings::{Names, gauge_mut, merge};
 use std::collections::{BTreeMap, HashMap};
@@ -208,7 +209,7 @@
             module: None,
             requests: BTreeMap::new(),
             by_uid: HashMap::new(),
-            keys: Keys::new(config.bounds.kept),
+            keys: Keys::new(config.bounds.kept, capture.is_some()),
             followers: BTreeMap::new(),
             events: Vec::new(),
             say: None,
@@ -264,6 +265,28 @@
         }
     }
 
+    /// All that is decided from here on goes to the capture, if there is one; now and then with the states as they stand.
+    fn begin_capture(&mut self) {
+        let (Some(capture), Some(module)) = (&mut self.capture, &self.module) else { return };
+        capture.press(self.keys.bytes() > self.pressed_from);
+        let (keys, several) = (&self.keys, &self.several);
+        capture.begin(self.now, || {
+            let below = several.as_ref().map(|several| several.decisions.masked());
+            (module.save(), SideStates::of(keys, below.as_ref()))
+        });
+    }
+
+    /// Hands over what was asked of the keys and of the decisions on dependencies.
+    fn capture_sides(&mut self) {
+        let Some(capture) = &mut self.capture else { return };
+        let below = self.several.as_mut().map(|several| several.decisions.take_tape()).unwrap_or_default();
+        let sides = Sides { keys: self.keys.take_tape(), below };
+        // What comes before the module is no part of a capture: it begins with the first state.
+        if self.module.is_some() {
+            capture.sides(sides);
+        }
+    }
+
     /// Has what was captured written out, if anything is.
     fn write_capture(&mut self, reason: Reason) {
         if let Some(capture) = &mut self.capture {
@@ -318,6 +341,7 @@
     pub fn round(&mut self, batch: impl IntoIterator<Item = Input>) {
         // The module's clock never goes back, whatever the system's does.
         self.now = self.now.max(self.clock.now() - self.epoch);
+        self.begin_capture();
         self.keys.expire(self.now);
         for input in batch {
             self.take(input);
@@ -331,8 +355,6 @@
                 actions.drain(..).for_each(|action| self.carry_out(action));
                 continue;
             };
-            capture.press(self.keys.bytes() > self.pressed_from);
-            capture.begin(self.now, module);
             module.step(self.now, &events, &mut actions);
             let name = |event: &Event| match event {
                 Event::Arrived(request) => {
@@ -347,6 +369,7 @@
                 self.carry_out(action);
             }
         }
+        self.capture_sides();
         self.tell_load();
         let owed = self.in_hand();
         self.ways.owed.send_if_modified(|told| std::mem::replace(told, owed) != owed);
@@ -383,7 +406,7 @@
             Input::Peer(peer) => self.heard_of_partner(peer),
             Input::Leave => {
                 if let Some(several) = &mut self.several {
-                    several.leave();
+                    several.leave(Duration::from_secs_f64(self.now));
                 }
                 self.stop_at = Some(self.now + self.stop.as_secs_f64() - STOP_AHEAD);
                 self.good = false;
--- a/crates/node/src/engine/below.rs
+++ b/crates/node/src/engine/below.rs
@@ -8,7 +8,8 @@
 use crate::interpreter::Command;
 use crate::log;
 use jaspershunt::{Below, Event, Outcome, RequestId, Settings};
-use jaspershunt_dependencies::{Action, AttemptId, CallId, Dependencies, End, Room, Wanted};
+use jaspershunt_dependencies::tape::Taped;
+use jaspershunt_dependencies::{Action, AttemptId, CallId, End, Room, Wanted};
 use jaspershunt_operator::File;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -22,7 +23,7 @@
 
 /// What decides on calls, and what is under way for it.
 pub(super) struct Several {
-    decisions: Dependencies,
+    pub(super) decisions: Taped,
     /// Each attempt is given up when its half is dropped.
     attempts: HashMap<AttemptId, oneshot::Sender<()>>,
     calls: HashMap<CallId, RequestId>,
@@ -54,14 +55,14 @@
                 class.skip_worth = 0.0;
             }
         }
-        let decisions = Dependencies::new(file, &classes, room, config.seed, now);
+        let decisions = Taped::new(file, &classes, room, config.seed, now, file.capture.is_some());
         let (attempts, calls) = (HashMap::new(), HashMap::new());
         Some(Several { decisions, attempts, calls, due: None, without, classes })
     }
 
     /// The nodo leaves.
-    pub fn leave(&mut self) {
-        self.decisions.leave();
+    pub fn leave(&mut self, now: Duration) {
+        self.decisions.leave(now);
     }
 
     /// The run of a request goes on without its present call: its answer will lack what that would have brought.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod fastcgi;
 pub mod http;
 pub mod interpreter;
-pub mod keys;
+pub use jaspershunt_keys as keys;
 pub mod log;
 pub mod request;
 pub mod server;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -20,8 +20,7 @@
 const WORK_PATH: &str = "/v1/";
 const CHECK_PATH: &str = "/healthz";
 
-/// What names all tries of one keyed request.
-pub type Key = Rc<str>;
+pub use jaspershunt_keys::Key;
 
 /// What a peer asks for.
 #[derive(Debug, PartialEq)]
