--- a/crates/node/src/capture.rs
+++ b/crates/node/src/capture.rs
@@ -14,11 +14,13 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread::JoinHandle;
 
-/// Pieces that wait for the thread. Their bytes have a bound of their own.
-const PIECES: usize = 1024;
+/// Pieces are handed over so many at a time: each time wakes the thread, which costs the engine more than what it copies.
+const BATCH: usize = 64;
+/// Batches that wait for the thread. Their bytes have a bound of their own.
+const BATCHES: usize = 1024;
 /// The part of the capture's memory that waits for the thread, at most; the ring has the rest.
 const WAITING_PART: usize = 4;
 /// While the nodo is pressed for memory the ring keeps this part of its bound.
@@ -27,7 +29,8 @@
 /// A capture under way.
 pub struct Capture {
     /// `None` once it has ended.
-    to: Option<SyncSender<Piece>>,
+    to: Option<SyncSender<Vec<Piece>>>,
+    batch: Vec<Piece>,
     waiting: Arc<AtomicUsize>,
     most_waiting: usize,
     ring: usize,
@@ -58,7 +61,7 @@
         let every = wanted.snapshot.0.as_secs_f64();
         let limits = Limits { snapshot_every: every, ..Limits::default() };
         let sink = Sink::new(head, limits, bounds, folder);
-        let (to, pieces) = sync_channel(PIECES);
+        let (to, pieces) = sync_channel(BATCHES);
         let waiting = Arc::new(AtomicUsize::new(0));
         let counted = waiting.clone();
         let thread = std::thread::Builder::new()
@@ -66,6 +69,7 @@
             .spawn(move || gather(sink, &pieces, &counted))?;
         Ok(Capture {
             to: Some(to),
+            batch: Vec::new(),
             waiting,
             most_waiting,
             ring,
@@ -80,13 +84,12 @@
 
     /// The engine begins to take things in; `states` are the states as they stand.
     pub fn begin(&mut self, now: f64, states: impl FnOnce() -> (Vec<u8>, SideStates)) {
-        let Capture { to, waiting, most_waiting, tap, .. } = self;
-        let hand_over = |piece| hand_over(to.as_ref(), waiting, *most_waiting, piece);
+        let Capture { batch, waiting, most_waiting, tap, .. } = self;
         let states = || {
             let (module, sides) = states();
             (module, Some(sides))
         };
-        self.open = tap.begin(now, states, hand_over);
+        self.open = tap.begin(now, states, |piece| put(batch, waiting, *most_waiting, piece));
     }
 
     /// A round was made.
@@ -115,15 +118,43 @@
 
     /// Hands over what stands on what came before it; behind a hole nothing does until the state has gone along again.
     fn offer(&mut self, piece: Piece) {
-        if !self.open || !hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, piece) {
+        if !self.open || !put(&mut self.batch, &self.waiting, self.most_waiting, piece) {
             self.tap.missed();
             self.open = false;
         }
+        if self.batch.len() >= BATCH {
+            self.hand_over();
+        }
+    }
+
+    /// Hands over what has gathered. Where even that finds no room, all of it is missing.
+    fn hand_over(&mut self) {
+        let batch = std::mem::take(&mut self.batch);
+        if batch.is_empty() {
+            return;
+        }
+        let lost = match &self.to {
+            Some(to) => to.try_send(batch).err().map(|e| match e {
+                TrySendError::Full(batch) | TrySendError::Disconnected(batch) => batch,
+            }),
+            None => Some(batch),
+        };
+        for piece in lost.into_iter().flatten() {
+            self.waiting.fetch_sub(piece.weight(), Ordering::Relaxed);
+            match piece {
+                Piece::Missed(rounds) => (0..rounds).for_each(|_| self.tap.missed()),
+                Piece::Round(_) | Piece::Sides(_) => self.tap.missed(),
+                _ => {}
+            }
+            self.open = false;
+        }
     }
 
     /// Has what is kept written out.
     pub fn write_out(&mut self, reason: Reason) {
-        if !hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, Piece::WriteOut(reason)) {
+        if put(&mut self.batch, &self.waiting, self.most_waiting, Piece::WriteOut(reason)) {
+            self.hand_over();
+        } else {
             log!(WARN, "capture: too much waits; nothing is written out");
         }
     }
@@ -132,8 +163,9 @@
     pub fn press(&mut self, pressed: bool) {
         if pressed != self.pressed {
             let most = if pressed { self.ring / PRESSED_PART } else { self.ring };
-            if hand_over(self.to.as_ref(), &self.waiting, self.most_waiting, Piece::Shrink(most)) {
+            if put(&mut self.batch, &self.waiting, self.most_waiting, Piece::Shrink(most)) {
                 self.pressed = pressed;
+                self.hand_over();
             }
         }
     }
@@ -145,6 +177,7 @@
         if self.all {
             self.write_out(Reason::End);
         }
+        self.hand_over();
         self.to = None;
         if let Some(thread) = self.thread.take() {
             // An error means that it panicked, which it has told of itself.
@@ -153,30 +186,29 @@
     }
 }
 
-/// Hands a piece over if there is room.
-fn hand_over(to: Option<&SyncSender<Piece>>, waiting: &AtomicUsize, most: usize, piece: Piece) -> bool {
+/// Puts a piece to those that are handed over next, if there is room for it on the way.
+fn put(batch: &mut Vec<Piece>, waiting: &AtomicUsize, most: usize, piece: Piece) -> bool {
     let weight = piece.weight();
     // Only this side adds, so that what it reads is never too low.
     if waiting.load(Ordering::Relaxed) + weight > most {
         return false;
     }
     waiting.fetch_add(weight, Ordering::Relaxed);
-    let taken = to.is_some_and(|to| to.try_send(piece).is_ok());
-    if !taken {
-        waiting.fetch_sub(weight, Ordering::Relaxed);
-    }
-    taken
+    batch.push(piece);
+    true
 }
 
-fn gather(mut sink: Sink<Folder>, pieces: &Receiver<Piece>, waiting: &AtomicUsize) {
-    while let Ok(piece) = pieces.recv() {
-        let weight = piece.weight();
-        match sink.take(piece) {
-            Some(Told::Wrote(name)) => log!("capture: {name} was written"),
-            Some(Told::Failed(why)) => log!(WARN, "capture: {why}"),
-            None => {}
+fn gather(mut sink: Sink<Folder>, pieces: &Receiver<Vec<Piece>>, waiting: &AtomicUsize) {
+    while let Ok(batch) = pieces.recv() {
+        for piece in batch {
+            let weight = piece.weight();
+            match sink.take(piece) {
+                Some(Told::Wrote(name)) => log!("capture: {name} was written"),
+                Some(Told::Failed(why)) => log!(WARN, "capture: {why}"),
+                None => {}
+            }
+            waiting.fetch_sub(weight, Ordering::Relaxed);
         }
-        waiting.fetch_sub(weight, Ordering::Relaxed);
     }
 }
 
