Answer operators while an earlier start still serves, and let old news of a key undo nothing

Found by reading the whole change once more: - A later start bound its operators' address and answered nobody there, nor SIGTERM, until it had taken over (server.rs, the loop ran before the listener was served): PING has 1 s. Its interpreter may come up late. - The earlier start may tell twice that no try of a key ran. The second telling took off a run that the later start had begun meanwhile (keys, adopt), and the key could have run again. Seen in the code alone; no play or test had shown it. - A table too long for the link left the later start waiting for ever; the link ends now, and it asks again. - Relayed replies carried the earlier start's credit in the place of that of the process which decides.

--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -16,6 +16,9 @@
 /// What names all tries of one keyed request.
 pub type Key = Rc<str>;
 
+/// Tries of another process have ids from this one on in the table, those of this process lower ones.
+pub const ADOPTED: RequestId = RequestId(1 << 62);
+
 /// What a record takes beside its key and result: the record, its places in both indexes, and their slack.
 const RECORD_BYTES: usize = 400;
 
@@ -203,20 +206,24 @@
         record.ran.as_ref().map(|ran| (record.print, seconds(ran.until), &ran.run))
     }
 
-    /// Takes over a key from another process, or news of one that was taken over; `None` says that no try of it ran. What
-    /// ran here goes before. Never left out for want of room, as it would run twice then; but its result may be.
-    pub fn adopt(&mut self, key: &Key, print: u64, id: RequestId, until: f64, run: Option<Run>) {
-        if let Some(ran) = self.records.get_mut(key).and_then(|record| record.ran.take()) {
-            if ran.run != Run::Running {
-                // What is known for certain does not change.
-                if let Some(record) = self.records.get_mut(key) {
-                    record.ran = Some(ran);
-                }
-                return;
+    /// Takes over a key from another process, or news of one that was taken over; `None` says that no try of it ran. Returns
+    /// whether it was news. Never left out for want of room, as the key would run twice then; but its result may be.
+    pub fn adopt(&mut self, key: &Key, print: u64, id: RequestId, until: f64, run: Option<Run>) -> bool {
+        if let Some(ran) = self.records.get(key).and_then(|record| record.ran.as_ref()) {
+            // What is known for certain does not change; and guards against old news of a key, said twice, that would have a
+            // run of this process forgotten, and its key run once more.
+            if ran.run != Run::Running || ran.id < ADOPTED {
+                return false;
             }
             self.ends.remove(&(ran.until, key.clone()));
+            if let Some(record) = self.records.get_mut(key) {
+                record.ran = None;
+            }
         }
-        let Some(run) = run else { return self.drop_if_empty(key) };
+        let Some(run) = run else {
+            self.drop_if_empty(key);
+            return true;
+        };
         if !self.records.contains_key(key) {
             self.bytes += weight(key);
             self.records.insert(key.clone(), Record { print, holder: None, ran: None });
@@ -231,6 +238,7 @@
             Run::Done(result) => self.ended(key, id, Some(result)),
             Run::Failed => self.ended(key, id, None),
         }
+        true
     }
 
     /// The runs of all tries from this id on are over, and nobody knows how; returns their keys.
--- a/crates/keys/src/tape.rs
+++ b/crates/keys/src/tape.rs
@@ -215,14 +215,14 @@
     }
 
     /// [`Keys::adopt`].
-    pub fn adopt(&mut self, key: &Key, print: u64, id: RequestId, until: f64, run: Option<Run>) {
+    pub fn adopt(&mut self, key: &Key, print: u64, id: RequestId, until: f64, run: Option<Run>) -> bool {
         let became = run.as_ref().map(|run| match run {
             Run::Running => Became::Running,
             Run::Done(result) => Became::Done(result.len()),
             Run::Failed => Became::Failed,
         });
         self.note(|| Call::Adopt { key: key.clone(), print, id, until, run: became }, None);
-        self.keys.adopt(key, print, id, until, run);
+        self.keys.adopt(key, print, id, until, run)
     }
 
     /// [`Keys::fail_from`].
--- a/crates/keys/src/tape/tests.rs
+++ b/crates/keys/src/tape/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::ADOPTED;
 
 /// Numbers from a seed (xorshift64*), the same everywhere.
 struct Random(u64);
@@ -39,8 +40,14 @@
                 _ => match random.below(4) {
                     0 => table.hold(&key, id),
                     1 => drop(table.fail_from(RequestId(n - n % 50))),
-                    2 => table.adopt(&key, 1, id, now + 3.0, Some(Run::Done(vec![0xab; 500].into()))),
-                    _ => table.adopt(&key, 1, id, now + 3.0, None),
+                    2 => drop(table.adopt(
+                        &key,
+                        1,
+                        RequestId(ADOPTED.0 + n),
+                        now + 3.0,
+                        Some(Run::Done(vec![0xab; 500].into())),
+                    )),
+                    _ => drop(table.adopt(&key, 1, RequestId(ADOPTED.0 + n), now + 3.0, None)),
                 },
             }
             assert!(table.bytes() <= 20_000 + 40 * 500);
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -73,10 +73,10 @@
     fn closed(&self) -> Option<&'static str> {
         if self.leaves.get() {
             Some("leaving")
-        } else if !self.listens.get() {
-            Some("not listening yet")
         } else if !self.up.get() {
             Some("the interpreter is not up yet")
+        } else if !self.listens.get() {
+            Some("an earlier start still takes them")
         } else {
             None
         }
--- a/crates/node/src/engine/input.rs
+++ b/crates/node/src/engine/input.rs
@@ -96,6 +96,8 @@
     Begin {
         /// The way to it.
         to: mpsc::Sender<Out>,
+        /// Told whether the keys are given.
+        given: oneshot::Sender<bool>,
     },
     /// The reply to a try that was sent to the later start.
     Reply {
--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -4,7 +4,7 @@
 use super::{Engine, Entry, Place, WINDOW_SLACK};
 use crate::config::OTHER_SOCKETS;
 use crate::engine::input::Peer;
-use crate::keys::Run;
+use crate::keys::{ADOPTED, Run};
 use crate::log;
 use crate::request::{Answer, Key, Reply, ReplyTo, Work};
 use crate::upgrade::claims::{Claims, Goes, Known, Try};
@@ -21,9 +21,8 @@
 const LOAD_EVERY: f64 = 0.05;
 /// Requests on the cores, for each core, that are left to a start in any case, so that it works at all.
 const LEAST_CROWD: f64 = 1.5;
-/// Requests of the other process have ids of their own here: its tries, and those of the keys that it had in hand.
+/// Tries that reached the other process have ids of their own here.
 const RELAYED: u64 = 1 << 61;
-const ADOPTED: u64 = 1 << 62;
 
 /// What the engine knows of the other process.
 #[derive(Default)]
@@ -66,16 +65,18 @@
             Peer::Lame { told } => drop(told.send(self.lameduck)),
             Peer::Earlier { to, lameduck } => {
                 self.partner = Partner { to: Some(to), ..Partner::default() };
-                self.set_lameduck(lameduck);
+                if lameduck {
+                    self.set_lameduck(true);
+                }
                 if self.module.is_some() {
                     self.ask_to_begin();
                 }
             }
             Peer::Beside => self.claims.break_off(self.now, longest_window(&self.settings)),
-            Peer::Begin { to } => self.give_away(to),
+            Peer::Begin { to, given } => drop(given.send(self.give_away(to))),
             Peer::Reply { ticket, reply } => {
                 if let Some(waits) = self.partner.relays.remove(&ticket) {
-                    waits.send(Reply { say: self.say, ..reply.into() });
+                    waits.send(reply.into());
                 }
             }
             Peer::Table(entries) => entries.into_iter().for_each(|entry| self.adopt(entry)),
@@ -105,8 +106,8 @@
     // The earlier start.
 
     /// Gives all keys to the later start, and with them all that is new from here on. What it is told goes in order, so
-    /// that the table is there before the first try that needs it.
-    fn give_away(&mut self, to: mpsc::Sender<Out>) {
+    /// that the table is there before the first try that needs it. Returns whether they are given.
+    fn give_away(&mut self, to: mpsc::Sender<Out>) -> bool {
         self.partner = Partner { to: Some(to), ..Partner::default() };
         let in_hand =
             self.now + longest(&self.settings, |class| class.deadline) + longest_window(&self.settings);
@@ -123,13 +124,14 @@
         let said = wire::pieces(all).into_iter().all(|piece| self.partner.say(Message::Table(piece)));
         let load = self.load();
         if !said || !self.partner.say(Message::Load(load)) || !self.partner.say(Message::Yours) {
-            // The link ends as the way there is dropped with it; until then it has been told of nothing that is its own.
+            // The later start has not been told that anything is its own.
             log!(ERROR, "upgrade: {count} keys are too many for the link; they stay here");
             self.partner = Partner::default();
-            return;
+            return false;
         }
         self.claims.give();
         log!("upgrade: {count} keys are the later start's, {} requests are ended here", self.requests.len());
+        true
     }
 
     /// What this process takes of what both share.
@@ -236,7 +238,7 @@
     fn adopt(&mut self, entry: wire::Entry) {
         let until = entry.until - self.epoch;
         self.partner.adopted += 1;
-        let id = RequestId(ADOPTED + self.partner.adopted);
+        let id = RequestId(ADOPTED.0 + self.partner.adopted);
         let (run, result) = match entry.state {
             State::InHand => (Some(Run::Running), None),
             State::Done(result) => (Some(Run::Done(result.clone())), Some(result)),
@@ -244,8 +246,8 @@
             State::NeverRan => (None, None),
         };
         let running = run == Some(Run::Running);
-        self.keys.adopt(&entry.key, entry.print, id, until, run);
-        if !running {
+        let news = self.keys.adopt(&entry.key, entry.print, id, until, run);
+        if news && !running {
             self.serve_followers(&entry.key, result);
         }
     }
@@ -287,7 +289,7 @@
         if partner.load != Load::default() {
             self.events.push(Event::Settings(Box::new(self.share())));
         }
-        for key in self.keys.fail_from(RequestId(ADOPTED)) {
+        for key in self.keys.fail_from(ADOPTED) {
             self.serve_followers(&key, None);
         }
     }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -6,7 +6,7 @@
 use crate::engine::input::{self, Input, Peer};
 use crate::engine::{self, Engine, Idle, Ways};
 use crate::fastcgi::connection::{Front, accept};
-use crate::upgrade::link::{self, Place};
+use crate::upgrade::link::{self, Out, Place};
 use crate::upgrade::wire::Message;
 use crate::upgrade::{self, Earlier, Keeper};
 use crate::{database, directory, interpreter, log};
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// From SIGTERM to the kill of a process that a later start took over from: the longest deadline, or this if that is longer,
@@ -179,35 +179,21 @@
     let front =
         Rc::new(Front::new(&config, engine_in.clone(), idle_out, facts.clone(), desk.connections.clone()));
     let (close, closed) = oneshot::channel::<()>();
-    let mut taking = None;
-    let mut earlier = earlier;
-    loop {
-        let found = match earlier {
-            Earlier::None => break,
-            Earlier::Silent => {
-                let _ = engine_in.send(Input::Peer(Peer::Beside)).await;
-                break;
-            }
-            Earlier::Found(found) => found,
-        };
-        // Until the interpreter is up and the table of keys is here, the earlier start serves.
-        let (out, outs) = mpsc::channel(link::QUEUE);
-        let told = Peer::Earlier { to: out.clone(), lameduck: found.lameduck };
-        let _ = engine_in.send(Input::Peer(told)).await;
-        let (owns, now_owns) = oneshot::channel();
-        let task = upgrade::take_over(*found, outs, out.clone(), engine_in.clone(), front.clone(), owns);
-        let task = spawn_local(task);
-        if now_owns.await.is_ok() {
-            taking = Some((task, out));
-            break;
-        }
-        // Two that each serve on their own would run a key twice: only when nobody is there any more, this one serves.
-        let Some(place) = &upgrade else { break };
-        earlier = match upgrade::find(place, &config.name, config.listen).await {
-            Earlier::None => Earlier::Silent,
-            other => other,
-        };
+    // Operators are answered from the first moment on, also while an earlier start still serves.
+    if let Some(admin) = admin {
+        let at = admin.local_addr().map_or(String::new(), |at| format!(" on {at}"));
+        log!("{} answers operators{at}", config.name);
+        spawn_local(admin::serve(admin, desk.clone(), orders_in));
     }
+    let mut leave = std::pin::pin!(leave);
+    let handed_over = take_over(earlier, &upgrade, &config, &engine_in, &front);
+    let taking = tokio::select! {
+        taking = handed_over => taking,
+        () = &mut leave => {
+            log!("{} leaves before it has taken over", config.name);
+            return;
+        }
+    };
     let accepting = spawn_local(accept(listener.clone(), front.clone(), async {
         let _ = closed.await;
     }));
@@ -229,11 +215,6 @@
         };
         spawn_local(keeper.keep(taking));
     }
-    if let Some(admin) = admin {
-        let at = admin.local_addr().map_or(String::new(), |at| format!(" on {at}"));
-        log!("{} answers operators{at}", config.name);
-        spawn_local(admin::serve(admin, desk.clone(), orders_in));
-    }
     log!("{} listens on {listens}", config.name);
 
     leave.await;
@@ -261,6 +242,42 @@
     log!("{} leaves{}", config.name, if left_over { " with connections open" } else { "" });
 }
 
+/// Takes over from the earlier start, if there is one: returns the task that goes on with it, and the way there. Until the
+/// interpreter is up and the table of keys is here, that one serves.
+async fn take_over(
+    mut earlier: Earlier,
+    place: &Option<Place>,
+    config: &Config,
+    engine: &mpsc::Sender<Input>,
+    front: &Rc<Front>,
+) -> Option<(JoinHandle<()>, mpsc::Sender<Out>)> {
+    loop {
+        let found = match earlier {
+            Earlier::None => return None,
+            Earlier::Silent => {
+                let _ = engine.send(Input::Peer(Peer::Beside)).await;
+                return None;
+            }
+            Earlier::Found(found) => found,
+        };
+        let (out, outs) = mpsc::channel(link::QUEUE);
+        let told = Peer::Earlier { to: out.clone(), lameduck: found.lameduck };
+        let _ = engine.send(Input::Peer(told)).await;
+        let (owns, now_owns) = oneshot::channel();
+        let task = upgrade::take_over(*found, outs, out.clone(), engine.clone(), front.clone(), owns);
+        let task = spawn_local(task);
+        if now_owns.await.is_ok() {
+            return Some((task, out));
+        }
+        // Two that each serve on their own would run a key twice: only when nobody is there any more, this one serves.
+        let place = place.as_ref()?;
+        earlier = match upgrade::find(place, &config.name, config.listen).await {
+            Earlier::None => Earlier::Silent,
+            other => other,
+        };
+    }
+}
+
 /// Ends what is in hand while a later start serves. This is no notice to drain: health stays good, and what still comes
 /// goes to the later start.
 async fn retire(
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -271,7 +271,15 @@
         let reading = async {
             loop {
                 let peer = match reader.next().await? {
-                    (Message::Begin, _) => Peer::Begin { to: out.clone() },
+                    (Message::Begin, _) => {
+                        let (given, is_given) = oneshot::channel();
+                        let begin = Peer::Begin { to: out.clone(), given };
+                        let _ = self.engine.send(Input::Peer(begin)).await;
+                        if !is_given.await.unwrap_or(false) {
+                            return Err(io::Error::other("the table of keys is too long for it"));
+                        }
+                        continue;
+                    }
                     (Message::Reply { ticket, reply }, _) => Peer::Reply { ticket, reply },
                     (Message::Lameduck { on }, _) => Peer::Lameduck { on },
                     (Message::Ready, _) => {
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -63,17 +63,27 @@
         let part = |ms| Work { part: Duration::from_millis(ms), calls: 0 };
         let interpreter =
             Interpreter::start(8, &[("read", part(4)), ("sign", part(8)), ("slow", part(700))]).await;
+        let at = interpreter.address();
+        self.interpreters.push(interpreter);
+        let start = self.begin(at).await;
+        while !start.call("PING").await.starts_with("+OK") {
+            sleep(Duration::from_millis(2)).await;
+        }
+        start
+    }
+
+    /// Starts the program with an interpreter at this address, and waits until operators can call.
+    async fn begin(&mut self, interpreter: SocketAddr) -> Start {
         self.started += 1;
         let config = self.folder.join(format!("config{}.json", self.started));
         let told = self.folder.join(format!("log{}", self.started));
         let text = format!(
             r#"{{"name":"n1","listen":"{}","admin":"127.0.0.1:0","vm":"{}","lookup":"{}","db":"127.0.0.1:9","settings":{SETTINGS}}}"#,
             self.address,
-            interpreter.address(),
+            interpreter,
             self.directory.address()
         );
         std::fs::write(&config, text).unwrap();
-        self.interpreters.push(interpreter);
         let child = Command::new(env!("CARGO_BIN_EXE_jaspershunt"))
             .env("NODE_CONFIG", &config)
             .env("TMPDIR", &self.folder)
@@ -89,11 +99,7 @@
             }
             sleep(Duration::from_millis(2)).await;
         };
-        let start = Start { child, admin };
-        while !start.call("PING").await.starts_with("+OK") {
-            sleep(Duration::from_millis(2)).await;
-        }
-        start
+        Start { child, admin }
     }
 
     /// How often the body was run, by the interpreters' own records.
@@ -405,6 +411,29 @@
     });
 }
 
+/// While its interpreter is not up a later start answers operators with that, and the earlier one serves; told to leave, it
+/// is gone at once.
+#[test]
+fn a_later_start_without_its_interpreter_answers_operators_and_leaves_the_earlier_one_serving() {
+    local(async {
+        let mut site = Site::new("early").await;
+        let earlier = site.start().await;
+        // Its interpreter takes the link and says nothing.
+        let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut later = site.begin(silent.local_addr().unwrap()).await;
+        let told = later.call("PING").await;
+        assert!(told.starts_with("-ERR") && told.contains("interpreter"), "{told}");
+        assert!(later.call("INFO").await.starts_with('{'));
+        let balancer = Balancer::new(site.address, 1, None);
+        assert_eq!(balancer.send(&keyed("sign", "k", false), PATIENCE).await.status, 200);
+        assert_eq!(site.runs(b"k"), 1);
+        later.signal("-TERM");
+        assert!(later.ends().await);
+        assert_eq!(balancer.send(&keyed("sign", "k", true), PATIENCE).await.status, 200);
+        assert!(earlier.call("PING").await.starts_with("+OK"));
+    });
+}
+
 /// A socket that a dead process left is no earlier start; and clients sent away stay so over an upgrade.
 #[test]
 fn a_stale_socket_is_recognised_and_a_drain_goes_over_to_the_later_start() {
