Split the engine by topic and remove the node's two circles of imports

Change: `engine.rs` (431 lines) keeps the type, its round and who is called when; arrivals, runs, calls, keys, settings, drain and captures are a file each, their functions moved as they were. The number of operators' descriptors lives in `config`. A reply that goes back to another process goes through `request::Relay`, which the link implements, so `request` knows no link.

--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -6,7 +6,7 @@
 
 pub mod line;
 
-use crate::config::Facts;
+use crate::config::{CALLERS, Facts};
 use crate::counts::Counts;
 use crate::log;
 use line::{Answer, Call, MAX_LINE, NoCall};
@@ -19,8 +19,6 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// Descriptors set aside for callers; one more is the listener.
-pub const CALLERS: usize = 16;
 /// A caller has so long for its line. Those that send nothing and stay keep a place for no longer.
 const LINE_WITHIN: Duration = Duration::from_secs(2);
 /// The engine has so long to take a command. It is told within one round; the answer is due within 1 s.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,5 @@
 //! The one place where configuration is read, checked and given defaults. Every message names the key at fault.
 
-use crate::admin::CALLERS;
 use jaspershunt::{Repeat, Settings};
 use jaspershunt_operator::check::{Class, against_settings};
 use jaspershunt_operator::{File, Repeat as OperatorRepeat};
@@ -30,6 +29,8 @@
 /// Descriptors for what is not a balancer's connection: standard streams, the runtime, the listener, the
 /// interpreter, the directory, and the calls to the database.
 pub const OTHER_SOCKETS: usize = 96;
+/// Descriptors set aside for operators that call; one more is their listener.
+pub const CALLERS: usize = 16;
 /// The most of those that calls to the database take.
 const CALL_SOCKETS: usize = 64;
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -8,31 +8,35 @@
 use crate::capture::Capture;
 use crate::clock::Clock;
 use crate::config::{Config, Facts};
-use crate::counts::Ended;
 use crate::database;
 use crate::directory::Mode;
 use crate::interpreter::{self, Command};
 use crate::keys::tape::Taped as Keys;
-use crate::keys::{NotTaken, Run, print};
 use crate::log;
-use crate::request::{Answer, Key, Label, Reply, ReplyTo, Work};
-use jaspershunt::{Action, Controller, Event, Gauges, Halt, Outcome, Repeat, Request, RequestId, Settings};
-use jaspershunt_capture::record::{Head, SideStates, Sides};
+use crate::request::{Answer, Key, Label, Reply, ReplyTo};
+use jaspershunt::{Action, Controller, Event, Gauges, RequestId, Settings};
 use jaspershunt_capture::tap::Reason;
-use jaspershunt_settings::{Names, gauge_mut, merge};
+use jaspershunt_settings::Names;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep};
 
+mod arrivals;
 mod below;
+mod calls;
+mod captures;
+mod drain;
 pub mod input;
+mod keys;
+mod runs;
+mod settings;
 mod upgrade;
-use crate::upgrade::claims::{Claims, Goes};
+use crate::upgrade::claims::Claims;
 use crate::upgrade::right::Right;
 use below::Several;
-use input::{CallEnd, Input, Message, QUEUE, RunEnd};
+use input::{Input, QUEUE};
 use upgrade::Partner;
 
 /// Calls that wait to be made.
@@ -202,7 +206,7 @@
         ways.desk.counts.borrow_mut().name(settings.classes.iter().map(|class| class.name.as_str()));
         let epoch = clock.now() - CLOCK_START;
         let claims = Claims::start(!ways.desk.shared.get());
-        let capture = capture_of(config, epoch, &settings);
+        let capture = captures::capture_of(config, epoch, &settings);
         Engine {
             clock,
             epoch,
@@ -278,80 +282,6 @@
         }
     }
 
-    /// All that is decided from here on goes to the capture, if there is one; now and then with the states as they stand.
-    fn begin_capture(&mut self) {
-        let (Some(capture), Some(module)) = (&mut self.capture, &self.module) else { return };
-        capture.press(self.keys.bytes() > self.pressed_from);
-        let (keys, several) = (&self.keys, &self.several);
-        capture.begin(self.now, || {
-            let below = several.as_ref().map(|several| several.decisions.masked());
-            (module.save(), SideStates::of(keys, below.as_ref()))
-        });
-    }
-
-    /// Hands over what was asked of the keys and of the decisions on dependencies.
-    fn capture_sides(&mut self) {
-        let Some(capture) = &mut self.capture else { return };
-        let below = self.several.as_mut().map(|several| several.decisions.take_tape()).unwrap_or_default();
-        let sides = Sides { keys: self.keys.take_tape(), below };
-        // What comes before the module is no part of a capture: it begins with the first state.
-        if self.module.is_some() {
-            capture.sides(sides);
-        }
-    }
-
-    /// Has what was captured written out, if anything is.
-    fn write_capture(&mut self, reason: Reason) {
-        if let Some(capture) = &mut self.capture {
-            capture.write_out(reason);
-        }
-    }
-
-    /// Takes up settings that were read anew. Requests that are open keep what they came with, in its place.
-    fn take_up_settings(&mut self, facts: &Facts) -> Result<(), String> {
-        if self.several.is_some() {
-            return Err(
-                "settings change with a restart only where the operator's file names dependencies".into()
-            );
-        }
-        let open = |place| self.requests.values().any(|entry| entry.class == place);
-        // One that was named until now may be that of a request which was read and is not here yet.
-        let free = |place| !self.names.uses(place) && !open(place);
-        let (settings, names) = merge(&self.settings, facts.settings.clone(), facts.names.clone(), free)
-            .map_err(|problem| format!("settings.{problem}"))?;
-        self.classes = settings.classes.iter().map(|class| interpreter::quoted(&class.name)).collect();
-        self.ways.desk.counts.borrow_mut().name(names.classes());
-        (self.settings, self.names) = (settings.clone(), names.clone());
-        self.events.push(Event::Settings(Box::new(self.share())));
-        self.ways.facts.send_replace(Rc::new(Facts { settings, names }));
-        Ok(())
-    }
-
-    fn set_lameduck(&mut self, on: bool) {
-        if on != self.lameduck {
-            self.lameduck = on;
-            log!("{}", if on { "clients are sent away" } else { "clients are taken again" });
-            self.report();
-        }
-    }
-
-    /// Whether health checks are answered as good. Operators who send clients away go before the module, which knows
-    /// nothing of it: what still comes is served as ever.
-    fn in_health(&self) -> bool {
-        self.good && !self.lameduck
-    }
-
-    /// Has the directory told of the present health, once the module has said that all is well. A process that has not the
-    /// right to run what is new says nothing for the nodo.
-    fn report(&mut self) {
-        if self.claims == Claims::Lost || self.ways.desk.lost.get() {
-            self.unreported = true;
-        } else if self.module.is_some() {
-            let mode = if self.in_health() { Mode::Open } else { Mode::Closed };
-            self.ways.directory.send_replace(Some(mode));
-        }
-    }
-
     /// Takes in all of a batch, then steps the module once, and again while carrying out what it asks for gives it
     /// news.
     pub fn round(&mut self, batch: impl IntoIterator<Item = Input>) {
@@ -433,382 +363,6 @@
         }
     }
 
-    /// Tells the module that the nodo leaves, if it does.
-    fn leave(&mut self) {
-        if let Some(stop_at) = self.stop_at
-            && self.module.is_some()
-        {
-            self.events.push(Event::Leave { within: (stop_at - self.now).max(0.0) });
-        }
-    }
-
-    // Requests.
-
-    fn arrive(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
-        let goes = if self.claims == Claims::Mine { Goes::Here } else { self.place(&work) };
-        if goes == Goes::There {
-            return self.relay(id, work, reply);
-        }
-        let class = work.class;
-        self.ways.desk.counts.borrow_mut().taken(&self.settings.classes[class].name);
-        let admitted = match goes {
-            Goes::Nowhere => Err((reply, Answer::Failed)),
-            _ => self.admit(id, work, reply),
-        };
-        if let Err((reply, answer)) = admitted {
-            // It never reached the module, and is over.
-            self.count_end(class, Some(&answer));
-            reply.send(Reply::new(answer, self.say));
-        }
-    }
-
-    /// Counts a request that is over, with the answer that it got.
-    fn count_end(&self, class: usize, answer: Option<&Answer>) {
-        let how = match answer {
-            Some(Answer::Served(_)) => Ended::Answered,
-            Some(Answer::Refused { .. }) => Ended::Deferred,
-            Some(_) => Ended::Errored,
-            None => Ended::Left,
-        };
-        self.ways.desk.counts.borrow_mut().ended(&self.settings.classes[class].name, how);
-    }
-
-    /// Takes a request on, or gives back the way to its caller with the answer that it gets at once.
-    fn admit(&mut self, id: RequestId, work: Work, reply: ReplyTo) -> Result<(), (ReplyTo, Answer)> {
-        if self.module.is_none() {
-            // No request comes before the interpreter is up; one that does finds a nodo that cannot run it.
-            let stay_away = self.settings.max_stay_away;
-            return Err((reply, Answer::Refused { stay_away, last: false }));
-        }
-        if self.by_uid.contains_key(&work.uid) {
-            return Err((reply, Answer::Bad));
-        }
-        // A peer's word is taken only within what a request can have waited: the module learns from these times.
-        let arrived = work.arrived.map_or(self.now, |unix| unix - self.epoch);
-        let deadline = self.settings.classes[work.class].deadline;
-        if arrived > self.now + AHEAD || arrived < self.now - deadline - BEHIND {
-            return Err((reply, Answer::Bad));
-        }
-        let arrived = arrived.max(self.now - deadline).min(self.now);
-        let mut repeats = None;
-        if let Some(key) = &work.key {
-            let requests = &self.requests;
-            let held = |id| requests.get(&id).is_some_and(|e| matches!(e.place, Place::Held) && !e.started);
-            match self.keys.arrived(
-                key,
-                print(&self.settings.classes[work.class].name, &work.body),
-                id,
-                self.now,
-                held,
-            ) {
-                Ok(earlier) => repeats = earlier,
-                Err(NotTaken::OtherBody) => {
-                    return Err((reply, Answer::Bad));
-                }
-                // What cannot be remembered cannot be kept from running twice.
-                Err(NotTaken::Full) => {
-                    let stay_away = self.settings.max_stay_away;
-                    return Err((reply, Answer::Refused { stay_away, last: false }));
-                }
-            }
-        }
-        self.events.push(Event::Arrived(Request {
-            id,
-            class: work.class,
-            tenant: work.tenant,
-            caller: work.caller,
-            waited: self.now - arrived,
-            time_left: None,
-            cost_hint: work.cost_hint,
-            held_kb: work.held_kb,
-            rank: work.rank,
-            retry: work.resent,
-            repeats,
-        }));
-        self.by_uid.insert(work.uid.clone(), id);
-        self.owed += 1;
-        let entry = Entry {
-            uid: work.uid,
-            class: work.class,
-            key: work.key,
-            body: work.body.into(),
-            arrived,
-            reply: Some(reply),
-            place: Place::Held,
-            started: false,
-            calls: 0,
-            held_kb: work.held_kb,
-            label: Label::default(),
-            stale_since: None,
-        };
-        self.requests.insert(id, entry);
-        Ok(())
-    }
-
-    /// The one place from which requests are answered: the way there is used up with the answer.
-    fn answer(&mut self, id: RequestId, answer: Answer) {
-        self.answer_or_left(id, answer, false);
-    }
-
-    fn answer_or_left(&mut self, id: RequestId, answer: Answer, left: bool) {
-        let Some(entry) = self.requests.get_mut(&id) else { return };
-        let Some(reply) = entry.reply.take() else { return };
-        let label = match answer {
-            Answer::Served(_) if self.several.is_some() => entry.label(self.now),
-            _ => None,
-        };
-        let class = entry.class;
-        self.count_end(class, (!left).then_some(&answer));
-        reply.send(Reply { answer, say: self.say, label });
-        self.owed -= 1;
-        self.let_go(id);
-    }
-
-    fn gone(&mut self, id: RequestId) {
-        if self.relay_gone(id) {
-            return;
-        }
-        if self.requests.get(&id).is_some_and(|entry| entry.reply.is_some()) {
-            self.events.push(Event::Withdrawn { id });
-            self.answer_or_left(id, Answer::Failed, true);
-        }
-    }
-
-    /// No answer is owed any more: the request is over, unless it still runs.
-    fn let_go(&mut self, id: RequestId) {
-        let Some(entry) = self.requests.get(&id) else { return };
-        if entry.runs() {
-            self.after(LOST_AFTER, Input::Lost { id });
-        } else {
-            self.remove(id);
-        }
-    }
-
-    fn remove(&mut self, id: RequestId) {
-        self.give_up_call(id);
-        let Some(entry) = self.requests.remove(&id) else { return };
-        self.by_uid.remove(&entry.uid);
-        if let Some(key) = &entry.key {
-            self.keys.forget(key, id);
-            if entry.started {
-                self.key_ended(key, id, None);
-            }
-            self.tell_of_key(key);
-        }
-    }
-
-    /// Guards against a notice that never comes: the run would take a place in the module for ever.
-    fn lost(&mut self, id: RequestId) {
-        if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs()) {
-            log!(WARN, "the end of run {} was never heard of", entry.uid);
-            self.events.push(Event::Ended { id, outcome: Outcome::Stopped });
-            self.remove(id);
-        }
-    }
-
-    // The interpreter.
-
-    fn heard(&mut self, message: Message) {
-        match message {
-            Message::Banner { cold, age } => self.start(cold, age),
-            Message::Value { uid, end, .. } => {
-                if let Some(id) = self.by_uid.get(&uid).copied() {
-                    self.run_ended(id, end);
-                }
-            }
-            Message::Await { pos, uid, content } => {
-                let Some(id) = self.by_uid.get(&uid).copied() else { return };
-                self.give_up_call(id);
-                let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
-                entry.place = Place::AtCall { pos, content: content.into(), made: None };
-                entry.calls += 1;
-                self.events.push(Event::CallWanted { id });
-            }
-            Message::Gauges { tag, readings, .. } => {
-                if tag != 0 && tag == self.tag {
-                    let mut gauges = Gauges::default();
-                    for (name, reading) in self.names.gauges.iter().zip(readings) {
-                        if let Some(place) = gauge_mut(&mut gauges, name) {
-                            *place = reading;
-                        }
-                    }
-                    self.wake(gauges);
-                }
-            }
-            Message::Rejected { command, uid } => {
-                // An order to stop may cross the end of its run.
-                if command != "BREAK" {
-                    log!(WARN, "interpreter: {command} of {uid} was not carried out");
-                }
-                if let Some(id) = self.by_uid.get(&uid).copied()
-                    && command == "APPLY"
-                {
-                    // Guards against a request that the interpreter does not know, and which would keep its key from
-                    // the one that it belongs to.
-                    if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs())
-                        && let Some(key) = &entry.key
-                    {
-                        self.keys.never_ran(key, id);
-                    }
-                    self.run_ended(id, RunEnd::NotStarted);
-                }
-            }
-            Message::Remark { .. } => {}
-        }
-    }
-
-    /// The interpreter is up: the module begins at its start, and takes requests from now on.
-    fn start(&mut self, cold: bool, age: f64) {
-        if self.module.is_some() {
-            return;
-        }
-        self.settings.cold = cold;
-        let Ok(mut module) = Controller::new(self.settings.clone()) else { return };
-        let mut actions = Vec::new();
-        module.step(self.now - age.min(CLOCK_START), &[], &mut actions);
-        self.module = Some(module);
-        for action in actions {
-            self.carry_out(action);
-        }
-        self.ways.desk.up.set(true);
-        self.ask_to_begin();
-        // It may have been told to leave before its interpreter came up.
-        self.leave();
-        log!("interpreter is up since {age:.3} s, {}", if cold { "cold" } else { "warm" });
-    }
-
-    fn run_ended(&mut self, id: RequestId, end: RunEnd) {
-        // A call that is still out is given up with this.
-        self.give_up_call(id);
-        let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
-        entry.place = Place::Held;
-        let key = entry.key.clone();
-        let over = entry.reply.is_none();
-        let outcome = match end {
-            RunEnd::Done(result) => {
-                let result: Rc<[u8]> = result.into();
-                if let Some(key) = &key {
-                    self.key_ended(key, id, Some(result.clone()));
-                }
-                self.answer(id, Answer::Served(result));
-                Outcome::Done
-            }
-            RunEnd::Failed => {
-                self.answer(id, Answer::Failed);
-                Outcome::Failed
-            }
-            RunEnd::Stopped => Outcome::Stopped,
-            RunEnd::NotStarted => Outcome::NotStarted,
-        };
-        if let Some(key) = &key {
-            self.key_ended(key, id, None);
-        }
-        if over {
-            self.remove(id);
-        }
-        self.events.push(Event::Ended { id, outcome });
-    }
-
-    /// The run of a key is over: those that wait for it get what it made. Only the first report counts.
-    fn key_ended(&mut self, key: &Key, id: RequestId, result: Option<Rc<[u8]>>) {
-        self.keys.ended(key, id, result.clone());
-        self.tell_of_key(key);
-        self.serve_followers(key, result);
-    }
-
-    fn serve_from(&mut self, id: RequestId, result: Option<Rc<[u8]>>) {
-        if self.requests.get(&id).is_none_or(|entry| entry.reply.is_none()) {
-            return;
-        }
-        let (answer, outcome) = match result {
-            Some(result) => (Answer::Served(result), Outcome::Done),
-            None => (Answer::Failed, Outcome::Failed),
-        };
-        self.answer(id, answer);
-        self.events.push(Event::Ended { id, outcome });
-    }
-
-    fn command(&self, command: Command) -> bool {
-        let sent = self.ways.interpreter.try_send(command).is_ok();
-        if !sent {
-            log!(WARN, "interpreter: too many commands wait");
-        }
-        sent
-    }
-
-    // Gauges.
-
-    fn ask_gauges(&mut self) {
-        self.tag += 1;
-        let tag = self.tag;
-        if self.command(Command::Gauges { tag }) {
-            self.after(GAUGES_WAIT, Input::NoGauges { tag });
-        } else {
-            self.wake(Gauges::default());
-        }
-    }
-
-    /// Passes on all wakes that have come.
-    fn wake(&mut self, gauges: Gauges) {
-        // What was asked for under the present tag has come, or is waited for no more.
-        self.tag += 1;
-        let wakes = self.wakes.drain(..).map(|token| Event::Woke { token, gauges });
-        self.events.extend(wakes);
-    }
-
-    // Calls.
-
-    fn call_ended(&mut self, id: RequestId, number: u64, end: CallEnd, took: f64) {
-        if self.several.is_some() {
-            return self.attempt_ended(number, end, took);
-        }
-        let Some(entry) = self.requests.get_mut(&id) else { return };
-        let Place::AtCall { made, .. } = &mut entry.place else { return };
-        // A call that was given up for a later one says nothing any more.
-        if made.as_ref().is_none_or(|(made, _)| *made != number) {
-            return;
-        }
-        *made = None;
-        if end.outcome == Outcome::Done {
-            entry.place = Place::Running;
-            let uid = entry.uid.clone();
-            self.command(Command::Resolve { uid, content: end.body.into() });
-        }
-        self.events.push(Event::CallEnded { id, outcome: end.outcome, took });
-    }
-
-    fn make_call(&mut self, id: RequestId, give_up_after: f64) {
-        // An earlier call of this request is given up as its place is taken.
-        self.give_up_call(id);
-        let Some(entry) = self.requests.get_mut(&id) else { return };
-        let Place::AtCall { content, made, .. } = &mut entry.place else { return };
-        let deadline = self.settings.classes[entry.class].deadline;
-        let give_up_after = if give_up_after > 0.0 { give_up_after.min(deadline) } else { deadline };
-        self.calls += 1;
-        let number = self.calls;
-        if self.several.is_some() {
-            *made = Some((number, None));
-            return self.want_call(id, number, Duration::from_secs_f64(give_up_after));
-        }
-        let (give_up, given_up) = oneshot::channel();
-        *made = Some((number, Some(give_up)));
-        let call = database::Call {
-            id,
-            number,
-            uid: entry.uid.clone(),
-            body: content.clone(),
-            to: None,
-            once: self.settings.classes[entry.class].repeat != Repeat::Safe,
-            give_up_after: Duration::from_secs_f64(give_up_after),
-            given_up,
-        };
-        if self.ways.database.try_send(call).is_err() {
-            self.call_ended(id, number, database::not_made(), 0.0);
-        }
-    }
-
-    // What the module asks for.
-
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Run(id) => self.start_run(id),
@@ -860,83 +414,6 @@
         }
     }
 
-    /// Starts a run, or takes up a paused one. The module keeps keyed requests from running twice; this guards the
-    /// rule once more, with the nodo's own record of what ran: such a try gets what that run made.
-    fn start_run(&mut self, id: RequestId) {
-        let Some(entry) = self.requests.get_mut(&id) else { return };
-        let resumes = entry.started && self.settings.halt == Halt::Pause;
-        if let Some(key) = entry.key.clone()
-            && !resumes
-        {
-            if self.keys.run(&key).is_some() {
-                log!(ERROR, "request {} must not run: another try of it did", entry.uid);
-                self.write_capture(Reason::Guard);
-                return self.follow(id);
-            }
-            let window = match self.settings.classes[entry.class].repeat {
-                Repeat::Keyed(window) => window,
-                _ => 0.0,
-            };
-            self.keys.started(&key, id, entry.arrived + window + WINDOW_SLACK);
-        }
-        entry.place = Place::Running;
-        entry.started = true;
-        if !resumes {
-            // A run that begins anew asks for its calls again.
-            (entry.calls, entry.label, entry.stale_since) = (0, Label::default(), None);
-        }
-        let command = Command::Apply {
-            uid: entry.uid.clone(),
-            class: self.classes[entry.class].clone(),
-            body: entry.body.clone(),
-        };
-        let class = entry.class;
-        if !self.command(command) {
-            self.run_ended(id, RunEnd::NotStarted);
-        } else if !resumes {
-            self.ways.desk.counts.borrow_mut().sent(&self.settings.classes[class].name);
-        }
-    }
-
-    /// A try may be turned away only if nothing of its key ran here; else it fails, which promises nothing.
-    fn refuse(&mut self, id: RequestId, stay_away: f64, last: bool) {
-        let Some(entry) = self.requests.get(&id) else { return };
-        let unsafe_ran = entry.started && !matches!(self.settings.classes[entry.class].repeat, Repeat::Safe);
-        let key_ran = entry.key.as_ref().is_some_and(|key| self.keys.run(key).is_some());
-        if unsafe_ran || key_ran {
-            log!(ERROR, "request {} must not be turned away: it ran", entry.uid);
-            self.write_capture(Reason::Guard);
-            self.answer(id, Answer::Failed);
-        } else {
-            self.answer(id, Answer::Refused { stay_away, last });
-        }
-    }
-
-    /// Answers a try with what the run of its key makes or made.
-    fn follow(&mut self, id: RequestId) {
-        let Some(entry) = self.requests.get_mut(&id) else { return };
-        let Some(key) = entry.key.clone() else {
-            return self.serve_from(id, None);
-        };
-        match self.keys.run(&key).cloned() {
-            Some(Run::Running) => {
-                entry.place = Place::Follows;
-                self.followers.entry(key).or_default().push(id);
-            }
-            Some(Run::Done(result)) => self.serve_from(id, Some(result)),
-            Some(Run::Failed) | None => self.serve_from(id, None),
-        }
-    }
-
-    fn close_idle(&self, limit: Duration) {
-        self.ways.idle.send_if_modified(|idle| {
-            if !idle.standing {
-                idle.limit = limit;
-            }
-            !idle.standing
-        });
-    }
-
     /// Sends the engine something after a time; each wait has a timer of its own.
     fn after(&self, time: Duration, input: Input) {
         let engine = self.ways.engine.clone();
@@ -950,20 +427,5 @@
     }
 }
 
-/// What records the decisions, where the operator's file wants that. A nodo whose captures cannot be written serves all the
-/// same.
-fn capture_of(config: &Config, epoch: f64, settings: &Settings) -> Option<Capture> {
-    let wanted = config.operator.as_ref()?.capture.as_ref()?;
-    let version = env!("CARGO_PKG_VERSION").to_string();
-    let head = Head { version, nodo: config.name.clone(), epoch, settings: settings.clone() };
-    match Capture::start(wanted, head) {
-        Ok(capture) => Some(capture),
-        Err(e) => {
-            log!(WARN, "capture.folder: {} cannot be used: {e}; nothing is captured", wanted.folder);
-            None
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/node/src/engine/arrivals.rs
@@ -0,0 +1,179 @@
+//! Requests as they come and go: what reaches the module, and the one place from which they are answered.
+
+use super::{AHEAD, BEHIND, Engine, Entry, LOST_AFTER, Place};
+use crate::counts::Ended;
+use crate::engine::input::Input;
+use crate::keys::{NotTaken, print};
+use crate::log;
+use crate::request::{Answer, Label, Reply, ReplyTo, Work};
+use crate::upgrade::claims::{Claims, Goes};
+use jaspershunt::{Event, Outcome, Request, RequestId};
+
+impl Engine {
+    pub(super) fn arrive(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
+        let goes = if self.claims == Claims::Mine { Goes::Here } else { self.place(&work) };
+        if goes == Goes::There {
+            return self.relay(id, work, reply);
+        }
+        let class = work.class;
+        self.ways.desk.counts.borrow_mut().taken(&self.settings.classes[class].name);
+        let admitted = match goes {
+            Goes::Nowhere => Err((reply, Answer::Failed)),
+            _ => self.admit(id, work, reply),
+        };
+        if let Err((reply, answer)) = admitted {
+            // It never reached the module, and is over.
+            self.count_end(class, Some(&answer));
+            reply.send(Reply::new(answer, self.say));
+        }
+    }
+
+    /// Counts a request that is over, with the answer that it got.
+    pub(super) fn count_end(&self, class: usize, answer: Option<&Answer>) {
+        let how = match answer {
+            Some(Answer::Served(_)) => Ended::Answered,
+            Some(Answer::Refused { .. }) => Ended::Deferred,
+            Some(_) => Ended::Errored,
+            None => Ended::Left,
+        };
+        self.ways.desk.counts.borrow_mut().ended(&self.settings.classes[class].name, how);
+    }
+
+    /// Takes a request on, or gives back the way to its caller with the answer that it gets at once.
+    pub(super) fn admit(
+        &mut self,
+        id: RequestId,
+        work: Work,
+        reply: ReplyTo,
+    ) -> Result<(), (ReplyTo, Answer)> {
+        if self.module.is_none() {
+            // No request comes before the interpreter is up; one that does finds a nodo that cannot run it.
+            let stay_away = self.settings.max_stay_away;
+            return Err((reply, Answer::Refused { stay_away, last: false }));
+        }
+        if self.by_uid.contains_key(&work.uid) {
+            return Err((reply, Answer::Bad));
+        }
+        // A peer's word is taken only within what a request can have waited: the module learns from these times.
+        let arrived = work.arrived.map_or(self.now, |unix| unix - self.epoch);
+        let deadline = self.settings.classes[work.class].deadline;
+        if arrived > self.now + AHEAD || arrived < self.now - deadline - BEHIND {
+            return Err((reply, Answer::Bad));
+        }
+        let arrived = arrived.max(self.now - deadline).min(self.now);
+        let mut repeats = None;
+        if let Some(key) = &work.key {
+            let requests = &self.requests;
+            let held = |id| requests.get(&id).is_some_and(|e| matches!(e.place, Place::Held) && !e.started);
+            match self.keys.arrived(
+                key,
+                print(&self.settings.classes[work.class].name, &work.body),
+                id,
+                self.now,
+                held,
+            ) {
+                Ok(earlier) => repeats = earlier,
+                Err(NotTaken::OtherBody) => {
+                    return Err((reply, Answer::Bad));
+                }
+                // What cannot be remembered cannot be kept from running twice.
+                Err(NotTaken::Full) => {
+                    let stay_away = self.settings.max_stay_away;
+                    return Err((reply, Answer::Refused { stay_away, last: false }));
+                }
+            }
+        }
+        self.events.push(Event::Arrived(Request {
+            id,
+            class: work.class,
+            tenant: work.tenant,
+            caller: work.caller,
+            waited: self.now - arrived,
+            time_left: None,
+            cost_hint: work.cost_hint,
+            held_kb: work.held_kb,
+            rank: work.rank,
+            retry: work.resent,
+            repeats,
+        }));
+        self.by_uid.insert(work.uid.clone(), id);
+        self.owed += 1;
+        let entry = Entry {
+            uid: work.uid,
+            class: work.class,
+            key: work.key,
+            body: work.body.into(),
+            arrived,
+            reply: Some(reply),
+            place: Place::Held,
+            started: false,
+            calls: 0,
+            held_kb: work.held_kb,
+            label: Label::default(),
+            stale_since: None,
+        };
+        self.requests.insert(id, entry);
+        Ok(())
+    }
+
+    /// The one place from which requests are answered: the way there is used up with the answer.
+    pub(super) fn answer(&mut self, id: RequestId, answer: Answer) {
+        self.answer_or_left(id, answer, false);
+    }
+
+    pub(super) fn answer_or_left(&mut self, id: RequestId, answer: Answer, left: bool) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Some(reply) = entry.reply.take() else { return };
+        let label = match answer {
+            Answer::Served(_) if self.several.is_some() => entry.label(self.now),
+            _ => None,
+        };
+        let class = entry.class;
+        self.count_end(class, (!left).then_some(&answer));
+        reply.send(Reply { answer, say: self.say, label });
+        self.owed -= 1;
+        self.let_go(id);
+    }
+
+    pub(super) fn gone(&mut self, id: RequestId) {
+        if self.relay_gone(id) {
+            return;
+        }
+        if self.requests.get(&id).is_some_and(|entry| entry.reply.is_some()) {
+            self.events.push(Event::Withdrawn { id });
+            self.answer_or_left(id, Answer::Failed, true);
+        }
+    }
+
+    /// No answer is owed any more: the request is over, unless it still runs.
+    pub(super) fn let_go(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get(&id) else { return };
+        if entry.runs() {
+            self.after(LOST_AFTER, Input::Lost { id });
+        } else {
+            self.remove(id);
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: RequestId) {
+        self.give_up_call(id);
+        let Some(entry) = self.requests.remove(&id) else { return };
+        self.by_uid.remove(&entry.uid);
+        if let Some(key) = &entry.key {
+            self.keys.forget(key, id);
+            if entry.started {
+                self.key_ended(key, id, None);
+            }
+            self.tell_of_key(key);
+        }
+    }
+
+    /// Guards against a notice that never comes: the run would take a place in the module for ever.
+    pub(super) fn lost(&mut self, id: RequestId) {
+        if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs()) {
+            log!(WARN, "the end of run {} was never heard of", entry.uid);
+            self.events.push(Event::Ended { id, outcome: Outcome::Stopped });
+            self.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/engine/calls.rs
@@ -0,0 +1,60 @@
+//! Calls of runs to what is below, where there is one dependency; several are in [`super::below`].
+
+use super::{Engine, Place};
+use crate::database;
+use crate::engine::input::CallEnd;
+use crate::interpreter::Command;
+use jaspershunt::{Event, Outcome, Repeat, RequestId};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+impl Engine {
+    pub(super) fn call_ended(&mut self, id: RequestId, number: u64, end: CallEnd, took: f64) {
+        if self.several.is_some() {
+            return self.attempt_ended(number, end, took);
+        }
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Place::AtCall { made, .. } = &mut entry.place else { return };
+        // A call that was given up for a later one says nothing any more.
+        if made.as_ref().is_none_or(|(made, _)| *made != number) {
+            return;
+        }
+        *made = None;
+        if end.outcome == Outcome::Done {
+            entry.place = Place::Running;
+            let uid = entry.uid.clone();
+            self.command(Command::Resolve { uid, content: end.body.into() });
+        }
+        self.events.push(Event::CallEnded { id, outcome: end.outcome, took });
+    }
+
+    pub(super) fn make_call(&mut self, id: RequestId, give_up_after: f64) {
+        // An earlier call of this request is given up as its place is taken.
+        self.give_up_call(id);
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Place::AtCall { content, made, .. } = &mut entry.place else { return };
+        let deadline = self.settings.classes[entry.class].deadline;
+        let give_up_after = if give_up_after > 0.0 { give_up_after.min(deadline) } else { deadline };
+        self.calls += 1;
+        let number = self.calls;
+        if self.several.is_some() {
+            *made = Some((number, None));
+            return self.want_call(id, number, Duration::from_secs_f64(give_up_after));
+        }
+        let (give_up, given_up) = oneshot::channel();
+        *made = Some((number, Some(give_up)));
+        let call = database::Call {
+            id,
+            number,
+            uid: entry.uid.clone(),
+            body: content.clone(),
+            to: None,
+            once: self.settings.classes[entry.class].repeat != Repeat::Safe,
+            give_up_after: Duration::from_secs_f64(give_up_after),
+            given_up,
+        };
+        if self.ways.database.try_send(call).is_err() {
+            self.call_ended(id, number, database::not_made(), 0.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/engine/runs.rs
@@ -0,0 +1,192 @@
+//! Runs and the interpreter that has them: what it is told and what it says, gauges among it.
+
+use super::{CLOCK_START, Engine, GAUGES_WAIT, Place, WINDOW_SLACK};
+use crate::engine::input::{Input, Message, RunEnd};
+use crate::interpreter::Command;
+use crate::log;
+use crate::request::{Answer, Label};
+use jaspershunt::{Controller, Event, Gauges, Halt, Outcome, Repeat, RequestId};
+use jaspershunt_capture::tap::Reason;
+use jaspershunt_settings::gauge_mut;
+use std::rc::Rc;
+
+impl Engine {
+    pub(super) fn heard(&mut self, message: Message) {
+        match message {
+            Message::Banner { cold, age } => self.start(cold, age),
+            Message::Value { uid, end, .. } => {
+                if let Some(id) = self.by_uid.get(&uid).copied() {
+                    self.run_ended(id, end);
+                }
+            }
+            Message::Await { pos, uid, content } => {
+                let Some(id) = self.by_uid.get(&uid).copied() else { return };
+                self.give_up_call(id);
+                let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
+                entry.place = Place::AtCall { pos, content: content.into(), made: None };
+                entry.calls += 1;
+                self.events.push(Event::CallWanted { id });
+            }
+            Message::Gauges { tag, readings, .. } => {
+                if tag != 0 && tag == self.tag {
+                    let mut gauges = Gauges::default();
+                    for (name, reading) in self.names.gauges.iter().zip(readings) {
+                        if let Some(place) = gauge_mut(&mut gauges, name) {
+                            *place = reading;
+                        }
+                    }
+                    self.wake(gauges);
+                }
+            }
+            Message::Rejected { command, uid } => {
+                // An order to stop may cross the end of its run.
+                if command != "BREAK" {
+                    log!(WARN, "interpreter: {command} of {uid} was not carried out");
+                }
+                if let Some(id) = self.by_uid.get(&uid).copied()
+                    && command == "APPLY"
+                {
+                    // Guards against a request that the interpreter does not know, and which would keep its key from
+                    // the one that it belongs to.
+                    if let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs())
+                        && let Some(key) = &entry.key
+                    {
+                        self.keys.never_ran(key, id);
+                    }
+                    self.run_ended(id, RunEnd::NotStarted);
+                }
+            }
+            Message::Remark { .. } => {}
+        }
+    }
+
+    /// The interpreter is up: the module begins at its start, and takes requests from now on.
+    pub(super) fn start(&mut self, cold: bool, age: f64) {
+        if self.module.is_some() {
+            return;
+        }
+        self.settings.cold = cold;
+        let Ok(mut module) = Controller::new(self.settings.clone()) else { return };
+        let mut actions = Vec::new();
+        module.step(self.now - age.min(CLOCK_START), &[], &mut actions);
+        self.module = Some(module);
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.ways.desk.up.set(true);
+        self.ask_to_begin();
+        // It may have been told to leave before its interpreter came up.
+        self.leave();
+        log!("interpreter is up since {age:.3} s, {}", if cold { "cold" } else { "warm" });
+    }
+
+    /// Starts a run, or takes up a paused one. The module keeps keyed requests from running twice; this guards the
+    /// rule once more, with the nodo's own record of what ran: such a try gets what that run made.
+    pub(super) fn start_run(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let resumes = entry.started && self.settings.halt == Halt::Pause;
+        if let Some(key) = entry.key.clone()
+            && !resumes
+        {
+            if self.keys.run(&key).is_some() {
+                log!(ERROR, "request {} must not run: another try of it did", entry.uid);
+                self.write_capture(Reason::Guard);
+                return self.follow(id);
+            }
+            let window = match self.settings.classes[entry.class].repeat {
+                Repeat::Keyed(window) => window,
+                _ => 0.0,
+            };
+            self.keys.started(&key, id, entry.arrived + window + WINDOW_SLACK);
+        }
+        entry.place = Place::Running;
+        entry.started = true;
+        if !resumes {
+            // A run that begins anew asks for its calls again.
+            (entry.calls, entry.label, entry.stale_since) = (0, Label::default(), None);
+        }
+        let command = Command::Apply {
+            uid: entry.uid.clone(),
+            class: self.classes[entry.class].clone(),
+            body: entry.body.clone(),
+        };
+        let class = entry.class;
+        if !self.command(command) {
+            self.run_ended(id, RunEnd::NotStarted);
+        } else if !resumes {
+            self.ways.desk.counts.borrow_mut().sent(&self.settings.classes[class].name);
+        }
+    }
+
+    pub(super) fn run_ended(&mut self, id: RequestId, end: RunEnd) {
+        // A call that is still out is given up with this.
+        self.give_up_call(id);
+        let Some(entry) = self.requests.get_mut(&id).filter(|entry| entry.runs()) else { return };
+        entry.place = Place::Held;
+        let key = entry.key.clone();
+        let over = entry.reply.is_none();
+        let outcome = match end {
+            RunEnd::Done(result) => {
+                let result: Rc<[u8]> = result.into();
+                if let Some(key) = &key {
+                    self.key_ended(key, id, Some(result.clone()));
+                }
+                self.answer(id, Answer::Served(result));
+                Outcome::Done
+            }
+            RunEnd::Failed => {
+                self.answer(id, Answer::Failed);
+                Outcome::Failed
+            }
+            RunEnd::Stopped => Outcome::Stopped,
+            RunEnd::NotStarted => Outcome::NotStarted,
+        };
+        if let Some(key) = &key {
+            self.key_ended(key, id, None);
+        }
+        if over {
+            self.remove(id);
+        }
+        self.events.push(Event::Ended { id, outcome });
+    }
+
+    /// A try may be turned away only if nothing of its key ran here; else it fails, which promises nothing.
+    pub(super) fn refuse(&mut self, id: RequestId, stay_away: f64, last: bool) {
+        let Some(entry) = self.requests.get(&id) else { return };
+        let unsafe_ran = entry.started && !matches!(self.settings.classes[entry.class].repeat, Repeat::Safe);
+        let key_ran = entry.key.as_ref().is_some_and(|key| self.keys.run(key).is_some());
+        if unsafe_ran || key_ran {
+            log!(ERROR, "request {} must not be turned away: it ran", entry.uid);
+            self.write_capture(Reason::Guard);
+            self.answer(id, Answer::Failed);
+        } else {
+            self.answer(id, Answer::Refused { stay_away, last });
+        }
+    }
+
+    pub(super) fn command(&self, command: Command) -> bool {
+        let sent = self.ways.interpreter.try_send(command).is_ok();
+        if !sent {
+            log!(WARN, "interpreter: too many commands wait");
+        }
+        sent
+    }
+
+    pub(super) fn ask_gauges(&mut self) {
+        self.tag += 1;
+        let tag = self.tag;
+        if self.command(Command::Gauges { tag }) {
+            self.after(GAUGES_WAIT, Input::NoGauges { tag });
+        } else {
+            self.wake(Gauges::default());
+        }
+    }
+
+    /// Passes on all wakes that have come.
+    pub(super) fn wake(&mut self, gauges: Gauges) {
+        // What was asked for under the present tag has come, or is waited for no more.
+        self.tag += 1;
+        let wakes = self.wakes.drain(..).map(|token| Event::Woke { token, gauges });
+        self.events.extend(wakes);
+    }
+}
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -1,6 +1,9 @@
 //! The engine with the test in the place of every other task, on a clock that stands until all is done.
 
+use super::input::{CallEnd, Message, RunEnd};
 use super::*;
+use crate::request::Work;
+use jaspershunt::Outcome;
 use tokio::task::LocalSet;
 use tokio::time::timeout_at;
 
--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -118,7 +118,7 @@
             Peer::Load(load) => self.make_way(load),
             Peer::Work { ticket, work, to } => {
                 let id = self.partner.id_of(ticket);
-                let reply = ReplyTo::relay(to, ticket);
+                let reply = ReplyTo::relay(Rc::new(to), ticket);
                 let names = &self.names;
                 match work.work(|name| names.class(name).ok(), |name| names.tenant(name)) {
                     Some(work) => self.arrive(id, work, reply),
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -1,8 +1,6 @@
 //! Requests and replies as the engine knows them, whatever protocol carries them, and how a request is read from the
 //! fields that every protocol carries by the same names.
 
-use crate::upgrade::link::Out;
-use crate::upgrade::wire::Message;
 use jaspershunt::{CallerId, Repeat, Settings};
 use jaspershunt_settings::Names;
 use std::fmt;
@@ -203,6 +201,12 @@
     }
 }
 
+/// A way back to another process, through which the request came.
+pub trait Relay: fmt::Debug {
+    /// Hands over the reply to what that process knows by this number. Never waits; one that has gone needs none.
+    fn reply(&self, ticket: u64, reply: Reply);
+}
+
 /// Where the one reply to a request goes. The receiver has room for as many replies as it lets requests be open, so
 /// that sending never waits; a receiver that has gone needs none.
 #[derive(Clone, Debug)]
@@ -213,7 +217,7 @@
     /// A connection here, and what the peer knows the request by.
     Connection(mpsc::Sender<(u16, Reply)>, u16),
     /// The other process of an upgrade, and what that knows the request by.
-    Relay(mpsc::Sender<Out>, u64),
+    Relay(Rc<dyn Relay>, u64),
 }
 
 impl ReplyTo {
@@ -223,7 +227,7 @@
     }
 
     /// The other process of an upgrade, and what that knows the request by.
-    pub fn relay(to: mpsc::Sender<Out>, ticket: u64) -> ReplyTo {
+    pub fn relay(to: Rc<dyn Relay>, ticket: u64) -> ReplyTo {
         ReplyTo(To::Relay(to, ticket))
     }
 
@@ -232,9 +236,7 @@
         // An error means that the connection or the other process has ended: nobody waits.
         match self.0 {
             To::Connection(to, ticket) => drop(to.try_send((ticket, reply))),
-            To::Relay(to, ticket) => {
-                drop(to.try_send(Message::Reply { ticket, reply: reply.into() }.into()));
-            }
+            To::Relay(to, ticket) => to.reply(ticket, reply),
         }
     }
 }
--- a/crates/node/src/upgrade/link.rs
+++ b/crates/node/src/upgrade/link.rs
@@ -1,6 +1,7 @@
 //! The link between two processes that are one nodo: a Unix socket, over which messages and descriptors travel.
 
 use super::wire::{self, Message};
+use crate::request::{Relay, Reply};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags,
@@ -41,6 +42,13 @@
     }
 }
 
+impl Relay for mpsc::Sender<Out> {
+    fn reply(&self, ticket: u64, reply: Reply) {
+        // An error means that the other process has ended: nobody waits.
+        let _ = self.try_send(Message::Reply { ticket, reply: reply.into() }.into());
+    }
+}
+
 /// The end of a link that sends.
 pub struct Writer {
     stream: Rc<UnixStream>,
--- a/crates/node/tests/admin.rs
+++ b/crates/node/tests/admin.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use jaspershunt_node::admin::CALLERS;
+use jaspershunt_node::config::CALLERS;
 use jaspershunt_node::fastcgi::records::{kind, put_pair, put_record};
 use tokio::net::TcpStream;
 
