Decide who lines up, who has a vote and what a member does next, without I/O

Need: between the agreed state and a process stand four decisions that had no room yet: which members line up for a lease, which disks have a vote, whether a voter's disk is older than what it once promised, and what a member asks, proposes and calls next.

Change, all in `crates/fleet`, `now` and events in, actions out: - `places`: the leader puts three of those that want a lease into its line, the ones with the least first, so that 50 leases and 300 members make 150 entries in place of 15,000. - `seats`: a vote belongs to a disk with a number of its own; a member that lost its disk learns anew, its old disk loses its vote, then the new one is given one. One change at a time. - `lives`: each start of a voter raises its life on disk and waits until the others have written it down; they know a disk that was put back by an earlier life, another nonce, a later term or a longer log. - `client`: finds the one that leads, one question for all leases, entries said again until they are settled, tasks run by their view. - `Fleet::seen_by`: the part of the state that a member needs, so that an answer is small whatever the fleet's size.

--- /dev/null
+++ b/crates/fleet/src/client.rs
@@ -0,0 +1,450 @@
+//! A member's side of the fleet: finds the voter that leads, asks it whether its leases go on, has what it proposes agreed, and runs the
+//! tasks that its operator's file names. One keep-alive covers all its leases.
+
+use crate::holder::{Grade, Leases, NoPermit, Permit};
+use crate::state::{Entry, Fleet, Holder, Outcome, Refusal};
+use crate::tasks::{Action as TaskAction, Called, Runner, Spec};
+use crate::time::Terms;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Entries that wait to be agreed.
+pub const MAX_PROPOSALS: usize = 1024;
+/// An entry of which nothing is heard for so many leases' time is given up.
+const GIVE_UP_AFTER: u32 = 3;
+/// After so many questions in a row without an answer another voter is asked.
+const TRY_ANOTHER: u32 = 2;
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Ask this voter whether all leases go on.
+    Ask {
+        /// Its name.
+        to: String,
+        /// Which question.
+        number: u64,
+        /// What this member would hold, where that has to be said.
+        wants: Option<Vec<String>>,
+    },
+    /// Have this voter see to it that an entry is agreed.
+    Propose {
+        /// Its name.
+        to: String,
+        /// Which of this member's entries; comes back with what came of it.
+        id: u64,
+        /// The entry.
+        entry: Entry,
+    },
+    /// Call for a task. It has to be over by then, by this process's clock.
+    Call {
+        /// The task.
+        task: String,
+        /// Which call.
+        number: u64,
+        /// Shown to what is called.
+        token: u64,
+        /// The same over retries and holders.
+        key: u64,
+        /// Where it goes on.
+        cursor: Vec<u8>,
+        /// It has to leave this process by then, or not at all.
+        send_by: Duration,
+        /// The end.
+        until: Duration,
+    },
+    /// An entry of an operator's came to this; `None` if nobody knows.
+    Settled {
+        /// The entry's number.
+        id: u64,
+        /// What came of it.
+        outcome: Option<Outcome>,
+    },
+    /// To be said to operators.
+    Tell(Told),
+}
+
+/// What operators are told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// A lease is held here.
+    Holds {
+        /// Its name.
+        lease: String,
+        /// Its token.
+        token: u64,
+    },
+    /// It is not any more.
+    Lost {
+        /// Its name.
+        lease: String,
+        /// Its token.
+        token: u64,
+    },
+    /// This start counts for nothing, as a later one of its name does.
+    Outdated,
+}
+
+#[derive(Clone, Debug)]
+struct Proposal {
+    entry: Entry,
+    since: Duration,
+    /// When it is said again.
+    again: Duration,
+    /// An operator waits.
+    told: bool,
+}
+
+/// A member's side.
+#[derive(Clone, Debug)]
+pub struct Client {
+    terms: Terms,
+    leases: Leases,
+    /// The voters, by name, in the order of the file.
+    voters: Vec<String>,
+    /// Which of them is asked.
+    asks: usize,
+    unanswered: u32,
+    /// The last question that was answered, and when.
+    answered: Option<(u64, Duration)>,
+    enrolled: bool,
+    outdated: bool,
+    wants: BTreeSet<String>,
+    /// The one that leads has to hear what this member wants.
+    say_wants: bool,
+    /// The part of the agreed state that concerns this member, as the last answer had it, with what was agreed since.
+    view: Fleet,
+    runners: BTreeMap<String, Runner>,
+    /// Tasks whose part of the view turned out to be old: they wait for the next answer.
+    stale: BTreeSet<String>,
+    proposals: BTreeMap<u64, Proposal>,
+    count: u64,
+    told: BTreeMap<String, u64>,
+    leaving: bool,
+}
+
+impl Client {
+    /// A start that has heard nothing yet. `unix` is the time by the wall clock: what was due before is not missed.
+    pub fn new(me: Holder, terms: Terms, voters: Vec<String>, tasks: Vec<Spec>, unix: i64) -> Client {
+        let runners: BTreeMap<String, Runner> =
+            tasks.into_iter().map(|spec| (spec.name.clone(), Runner::new(spec, unix))).collect();
+        let wants = runners.values().map(|runner| runner.lease().to_string()).collect();
+        Client {
+            terms,
+            leases: Leases::new(me, terms),
+            voters,
+            asks: 0,
+            unanswered: 0,
+            answered: None,
+            enrolled: false,
+            outdated: false,
+            wants,
+            say_wants: true,
+            view: Fleet::default(),
+            runners,
+            stale: BTreeSet::new(),
+            proposals: BTreeMap::new(),
+            count: 0,
+            told: BTreeMap::new(),
+            leaving: false,
+        }
+    }
+
+    /// This start.
+    pub fn me(&self) -> &Holder {
+        self.leases.me()
+    }
+
+    /// Its leases.
+    pub fn leases(&self) -> &Leases {
+        &self.leases
+    }
+
+    /// The voter that is asked.
+    pub fn asks(&self) -> Option<&str> {
+        self.voters.get(self.asks).map(String::as_str)
+    }
+
+    /// When the last question was answered.
+    pub fn answered(&self) -> Option<Duration> {
+        self.answered.map(|(_, at)| at)
+    }
+
+    /// A later start of this member is here.
+    pub fn is_outdated(&self) -> bool {
+        self.outdated
+    }
+
+    /// Leave to begin an act now, for whoever acts by another way than a task.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn may_act(&self, now: Duration, lease: &str, grade: Grade) -> Result<Permit, NoPermit> {
+        if self.leaving {
+            return Err(NoPermit::NotHeld);
+        }
+        self.leases.may_act(now, lease, grade)
+    }
+
+    /// This member would hold a lease.
+    pub fn want(&mut self, lease: &str) {
+        self.say_wants |= self.wants.insert(lease.to_string());
+    }
+
+    /// It does not any more; if it holds it, it gives it up.
+    pub fn unwant(&mut self, now: Duration, lease: &str) {
+        self.say_wants |= self.wants.remove(lease);
+        self.release(now, lease);
+    }
+
+    fn release(&mut self, now: Duration, lease: &str) {
+        if let Some(token) = self.leases.give_up(lease) {
+            self.propose(now, Entry::Release { lease: lease.to_string(), token }, false);
+        }
+    }
+
+    /// This start is about to end: nothing begins any more, and what it holds is given up.
+    pub fn leave(&mut self, now: Duration) {
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
+        }
+        self.wants.clear();
+        self.say_wants = true;
+        let held: Vec<String> = self.leases.all_held(now).map(|(name, _)| name.to_string()).collect();
+        held.iter().for_each(|lease| self.release(now, lease));
+        let gone = Entry::Gone { holder: self.me().clone() };
+        self.propose(now, gone, false);
+    }
+
+    /// It has left, as far as that can be known.
+    pub fn has_left(&self) -> bool {
+        self.leaving && self.proposals.is_empty()
+    }
+
+    /// Has an entry agreed; its number comes back with [`Action::Settled`] if `told`. One that is on its way already is not said twice.
+    pub fn propose(&mut self, now: Duration, entry: Entry, told: bool) -> Option<u64> {
+        if let Some((id, _)) = self.proposals.iter().find(|(_, other)| other.entry == entry && !told) {
+            return Some(*id);
+        }
+        if self.proposals.len() >= MAX_PROPOSALS {
+            return None;
+        }
+        self.count += 1;
+        self.proposals.insert(self.count, Proposal { entry, since: now, again: Duration::ZERO, told });
+        Some(self.count)
+    }
+
+    /// Time has passed, or something was heard: what is to be done. `unix` is the time by the wall clock.
+    pub fn step(&mut self, now: Duration, unix: i64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.leaving {
+            self.run_tasks(now, unix, &mut actions);
+        }
+        if self.voters.is_empty() {
+            return actions;
+        }
+        if let Some(number) = self.leases.ask(now) {
+            self.unanswered += 1;
+            if self.unanswered > TRY_ANOTHER {
+                (self.unanswered, self.asks) = (1, (self.asks + 1) % self.voters.len());
+                self.proposals.values_mut().for_each(|proposal| proposal.again = now);
+            }
+            let wants = self.say_wants.then(|| self.wants.iter().cloned().collect());
+            actions.push(Action::Ask { to: self.voters[self.asks].clone(), number, wants });
+            let enrol = Entry::Enrol { holder: self.me().clone() };
+            if !self.enrolled && !self.leaving {
+                self.propose(now, enrol, false);
+            }
+        }
+        let to = &self.voters[self.asks];
+        let (again, give_up) = (now + self.terms.ask_every(), self.terms.ttl * GIVE_UP_AFTER);
+        self.proposals.retain(|id, proposal| {
+            if now.saturating_sub(proposal.since) > give_up {
+                if proposal.told {
+                    actions.push(Action::Settled { id: *id, outcome: None });
+                }
+                return false;
+            }
+            if proposal.again <= now {
+                proposal.again = again;
+                let (id, entry) = (*id, proposal.entry.clone());
+                actions.push(Action::Propose { to: to.clone(), id, entry });
+            }
+            true
+        });
+        self.tell(now, &mut actions);
+        actions
+    }
+
+    /// Says which leases came and went.
+    fn tell(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let held: BTreeMap<String, u64> =
+            self.leases.all_held(now).map(|(name, held)| (name.to_string(), held.token)).collect();
+        for (lease, token) in self.told.iter().filter(|(lease, token)| held.get(*lease) != Some(token)) {
+            actions.push(Action::Tell(Told::Lost { lease: lease.clone(), token: *token }));
+        }
+        for (lease, token) in held.iter().filter(|(lease, token)| self.told.get(*lease) != Some(token)) {
+            actions.push(Action::Tell(Told::Holds { lease: lease.clone(), token: *token }));
+        }
+        self.told = held;
+    }
+
+    fn run_tasks(&mut self, now: Duration, unix: i64, actions: &mut Vec<Action>) {
+        let names: Vec<String> =
+            self.runners.keys().filter(|name| !self.stale.contains(*name)).cloned().collect();
+        for name in names {
+            let Some(runner) = self.runners.get_mut(&name) else { continue };
+            let wanted = runner.step(now, unix, &self.leases, &self.view);
+            self.take_up(now, &name, wanted, actions);
+        }
+    }
+
+    fn take_up(&mut self, now: Duration, task: &str, wanted: Vec<TaskAction>, actions: &mut Vec<Action>) {
+        for action in wanted {
+            match action {
+                TaskAction::Propose(entry) => drop(self.propose(now, entry, false)),
+                TaskAction::Call { number, token, key, cursor, until } => {
+                    let grade = self.runners.get(task).map(|runner| runner.spec().grade);
+                    // Guards against a pause of this process between the look at the lease and the act: it counts as way.
+                    let send_by = match grade {
+                        Some(Grade::Timed { way, .. }) => now + way,
+                        _ => until,
+                    };
+                    let task = task.to_string();
+                    actions.push(Action::Call { task, number, token, key, cursor, send_by, until });
+                }
+                // This is stepped often enough.
+                TaskAction::Wake(_) => {}
+            }
+        }
+    }
+
+    /// What came of a call for a task.
+    pub fn called(&mut self, now: Duration, task: &str, number: u64, came: Called) {
+        if let Some(runner) = self.runners.get_mut(task) {
+            let turned_away = came == Called::TurnedAway;
+            let wanted = runner.called(now, number, came);
+            let mut actions = Vec::new();
+            self.take_up(now, task, wanted, &mut actions);
+            if turned_away {
+                self.leases.ask_soon();
+            }
+        }
+    }
+
+    /// The voter that leads has answered a question.
+    pub fn heard_answer(&mut self, now: Duration, from: &str, answer: &Answer) {
+        self.asked_rightly(from);
+        self.unanswered = 0;
+        self.leases.answered(now, answer.number, &answer.holds);
+        if self.answered.is_none_or(|(number, _)| number < answer.number) {
+            self.answered = Some((answer.number, now));
+            self.enrolled = answer.enrolled;
+            self.outdated &= !answer.enrolled;
+            self.say_wants = answer.say_wants;
+            if let Some(view) = Fleet::load(&answer.view) {
+                self.view = view;
+                self.stale.clear();
+            }
+        }
+        // What is held and not wanted any more.
+        let unwanted: Vec<String> = answer
+            .holds
+            .iter()
+            .map(|(lease, _)| lease.clone())
+            .filter(|lease| !self.wants.contains(lease))
+            .collect();
+        unwanted.iter().for_each(|lease| self.release(now, lease));
+    }
+
+    fn asked_rightly(&mut self, name: &str) {
+        if let Some(place) = self.voters.iter().position(|voter| voter == name)
+            && place != self.asks
+        {
+            self.asks = place;
+            self.proposals.values_mut().for_each(|proposal| proposal.again = Duration::ZERO);
+        }
+    }
+
+    /// The voter that was asked does not lead; perhaps it knows who does.
+    pub fn heard_not_leader(&mut self, from: &str, leader: Option<&str>) {
+        if self.asks() != Some(from) {
+            return;
+        }
+        match leader {
+            Some(leader) if leader != from => {
+                self.asked_rightly(leader);
+                // The question is due again at once: it counts from now.
+                self.leases.ask_soon();
+            }
+            _ => {
+                self.asks = (self.asks + 1) % self.voters.len().max(1);
+                self.proposals.values_mut().for_each(|proposal| proposal.again = Duration::ZERO);
+            }
+        }
+    }
+
+    /// An entry of this member was agreed, or came to nothing (`None`).
+    pub fn heard_outcome(&mut self, now: Duration, id: u64, outcome: Option<Outcome>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(outcome) = outcome else {
+            // Nobody knows what became of it: it is said again, as all entries may be.
+            if let Some(proposal) = self.proposals.get_mut(&id) {
+                proposal.again = proposal.again.min(now + self.terms.ask_every() / 4);
+            }
+            return actions;
+        };
+        let Some(Proposal { entry, told, .. }) = self.proposals.remove(&id) else { return actions };
+        match &entry {
+            Entry::Enrol { .. } => {
+                let refused = outcome == Outcome::Refused(Refusal::OldIncarnation);
+                if refused && !self.outdated {
+                    actions.push(Action::Tell(Told::Outdated));
+                }
+                self.outdated = refused;
+                self.enrolled |= !refused;
+                self.leases.ask_soon();
+            }
+            Entry::Begin { task, .. }
+            | Entry::Reach { task, .. }
+            | Entry::End { task, .. }
+            | Entry::Skip { task, .. } => {
+                let task = task.clone();
+                if matches!(outcome, Outcome::Refused(_)) {
+                    // Guards against saying the same again and again, as the view that it comes from is old.
+                    self.stale.insert(task.clone());
+                    self.leases.ask_soon();
+                } else {
+                    self.view.apply(&entry);
+                }
+                if let Some(runner) = self.runners.get_mut(&task) {
+                    let wanted = runner.agreed(now, &entry, &outcome);
+                    self.take_up(now, &task, wanted, &mut actions);
+                }
+            }
+            _ => {}
+        }
+        if told {
+            actions.push(Action::Settled { id, outcome: Some(outcome) });
+        }
+        actions
+    }
+}
+
+/// The answer of the one that leads to a question.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Answer {
+    /// Which question.
+    pub number: u64,
+    /// What goes on: leases and tokens.
+    pub holds: Vec<(String, u64)>,
+    /// This start is the present one of its member.
+    pub enrolled: bool,
+    /// The next question has to say what this member would hold.
+    pub say_wants: bool,
+    /// The part of the agreed state that concerns this member ([`Fleet::seen_by`]).
+    pub view: Vec<u8>,
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/client/tests.rs
@@ -0,0 +1,186 @@
+use super::*;
+use crate::leader::{Leader, Question};
+use crate::places::Places;
+use crate::schedule::{Missed, When};
+use crate::state::lease_of_task;
+
+const TERMS: Terms = Terms { ttl: Duration::from_secs(4), drift: 50 };
+
+fn spec(name: &str) -> Spec {
+    Spec {
+        name: name.into(),
+        when: When::every(Duration::from_secs(10)).unwrap(),
+        missed: Missed::Once,
+        grade: Grade::Checked,
+        timeout: Duration::from_secs(1),
+        tries: 2,
+        wait: Duration::from_millis(500),
+        late: Duration::from_secs(5),
+    }
+}
+
+/// Members and two voters, the second of which leads and agrees at once.
+struct Rig {
+    now: Duration,
+    fleet: Fleet,
+    leader: Leader,
+    places: Places,
+    members: Vec<Client>,
+    calls: Vec<(String, u64, u64)>,
+    asked: Vec<String>,
+    told: Vec<Action>,
+    /// The voters say nothing.
+    silent: bool,
+}
+
+impl Rig {
+    fn new(members: usize) -> Rig {
+        let voters = || vec!["v1".to_string(), "v2".to_string()];
+        let member = |n| {
+            let me = Holder::new(&format!("n{n}"), 1);
+            Client::new(me, TERMS, voters(), vec![spec("cierre")], 1005)
+        };
+        Rig {
+            now: Duration::from_secs(5),
+            fleet: Fleet::default(),
+            leader: Leader::new(Duration::from_secs(5), TERMS),
+            places: Places::default(),
+            members: (0..members).map(member).collect(),
+            calls: Vec::new(),
+            asked: Vec::new(),
+            told: Vec::new(),
+            silent: false,
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(100);
+            for n in 0..self.members.len() {
+                let unix = 1000 + self.now.as_secs() as i64;
+                let actions = self.members[n].step(self.now, unix);
+                self.carry_out(n, actions);
+            }
+            let ending = self.leader.tick(self.now, &self.fleet);
+            let lining_up = self.places.tick(&self.fleet);
+            ending.iter().chain(&lining_up).for_each(|entry| drop(self.fleet.apply(entry)));
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Ask { to, number, wants } => {
+                    self.asked.push(to.clone());
+                    if self.silent {
+                        continue;
+                    }
+                    if to == "v1" {
+                        self.members[n].heard_not_leader("v1", Some("v2"));
+                        continue;
+                    }
+                    let holder = self.members[n].me().clone();
+                    if let Some(wants) = wants {
+                        self.places.wants(&holder, wants);
+                    }
+                    assert!(self.leader.asks(self.now, Question { holder: holder.clone(), number }));
+                    assert!(self.leader.wants_confirmation());
+                    for answer in self.leader.confirmed(&self.fleet) {
+                        let answer = Answer {
+                            number: answer.question.number,
+                            holds: answer.holds,
+                            enrolled: answer.enrolled,
+                            say_wants: !self.places.knows(&holder),
+                            view: self.fleet.seen_by(&holder).save(),
+                        };
+                        self.members[n].heard_answer(self.now, "v2", &answer);
+                    }
+                }
+                Action::Propose { to, id, entry } if to == "v2" && !self.silent => {
+                    let outcome = self.fleet.apply(&entry);
+                    let actions = self.members[n].heard_outcome(self.now, id, Some(outcome));
+                    self.carry_out(n, actions);
+                }
+                Action::Propose { .. } => {}
+                Action::Call { task, number, key, .. } => {
+                    self.calls.push((self.members[n].me().member.clone(), number, key));
+                    self.members[n].called(self.now, &task, number, Called::Done(b"ok".to_vec()));
+                }
+                other => self.told.push(other),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_task_is_run_once_each_time_by_the_one_that_holds_its_lease() {
+    let mut rig = Rig::new(3);
+    rig.pass(Duration::from_secs(36));
+    let holder = rig.fleet.lease(&lease_of_task("cierre")).unwrap().holder.member.clone();
+    let names: Vec<&str> = rig.calls.iter().map(|(name, ..)| name.as_str()).collect();
+    assert_eq!(names, [holder.as_str(); 4], "at 1010, 1020, 1030 and 1040");
+    let keys: BTreeSet<u64> = rig.calls.iter().map(|(_, _, key)| *key).collect();
+    assert_eq!(keys.len(), 4);
+    assert_eq!(rig.fleet.task("cierre").unwrap().result.as_deref(), Some(&b"ok"[..]));
+    // Each found the one that leads by the word of the other, and stayed.
+    assert_eq!(rig.asked.iter().filter(|name| *name == "v1").count(), 3);
+}
+
+#[test]
+fn one_that_leaves_gives_its_lease_to_the_next_at_once() {
+    let mut rig = Rig::new(2);
+    rig.pass(Duration::from_secs(8));
+    let lease = lease_of_task("cierre");
+    let first = rig.fleet.lease(&lease).unwrap().holder.clone();
+    let n = rig.members.iter().position(|member| *member.me() == first).unwrap();
+    let now = rig.now;
+    rig.members[n].leave(now);
+    rig.pass(Duration::from_millis(300));
+    assert!(rig.members[n].has_left() && !rig.fleet.is_present(&first));
+    assert_ne!(rig.fleet.lease(&lease).unwrap().holder, first);
+    assert_eq!(rig.members[n].may_act(rig.now, &lease, Grade::Checked), Err(NoPermit::NotHeld));
+}
+
+#[test]
+fn without_an_answer_the_other_voter_is_asked_and_nothing_is_held_for_long() {
+    let mut rig = Rig::new(1);
+    rig.pass(Duration::from_secs(4));
+    let lease = lease_of_task("cierre");
+    assert!(rig.members[0].may_act(rig.now, &lease, Grade::Checked).is_ok());
+    (rig.silent, rig.asked) = (true, Vec::new());
+    rig.pass(Duration::from_secs(12));
+    assert!(rig.asked.contains(&"v1".to_string()) && rig.asked.contains(&"v2".to_string()));
+    assert_eq!(rig.members[0].may_act(rig.now, &lease, Grade::Checked), Err(NoPermit::NotHeld));
+    assert!(rig.told.contains(&Action::Tell(Told::Lost { lease, token: 1 })), "{:?}", rig.told);
+}
+
+#[test]
+fn a_start_that_a_later_one_follows_says_so_once() {
+    let mut rig = Rig::new(1);
+    rig.fleet.apply(&Entry::Enrol { holder: Holder::new("n0", 2) });
+    rig.pass(Duration::from_secs(3));
+    assert!(rig.members[0].is_outdated());
+    assert_eq!(rig.told, [Action::Tell(Told::Outdated)]);
+    assert_eq!(rig.fleet.leases().count(), 0);
+}
+
+/// An operator's entry comes back with what came of it; one that nobody takes comes back with nothing.
+#[test]
+fn an_operators_entry_is_settled_or_given_up() {
+    let mut rig = Rig::new(1);
+    rig.pass(Duration::from_secs(1));
+    let now = rig.now;
+    let id = rig.members[0].propose(now, Entry::Pause { task: "cierre".into(), on: true }, true).unwrap();
+    rig.pass(Duration::from_millis(200));
+    assert!(rig.told.contains(&Action::Settled { id, outcome: Some(Outcome::Done) }), "{:?}", rig.told);
+    rig.silent = true;
+    let now = rig.now;
+    let id = rig.members[0].propose(now, Entry::Ask { task: "cierre".into() }, true).unwrap();
+    rig.pass(TERMS.ttl * (GIVE_UP_AFTER + 1));
+    assert!(rig.told.contains(&Action::Settled { id, outcome: None }));
+    for n in 0..2 * MAX_PROPOSALS as u64 {
+        rig.members[0].propose(now, Entry::Release { lease: "x".into(), token: n }, false);
+    }
+    assert_eq!(rig.members[0].proposals.len(), MAX_PROPOSALS);
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`state`]: the agreed state, a function of the log alone: members, leases with their tokens and waiters, tasks.
 //! - [`leader`]: when a lease has run out, seen from the one that leads, and whom it may tell that a lease goes on.
 //! - [`holder`]: what a process holds by its own clock, and whether an act may begin.
+//! - [`client`]: a member's side of all of this; [`places`]: who lines up for which lease.
+//! - [`lives`]: whether a voter's disk is older than what it once promised; [`seats`]: which disks have a vote.
 //! - [`mutants`]: the rules left out one by one, to show that the checks find it.
 //! - [`tasks`]: what the holder of a task's lease does next; [`schedule`]: when a task is due.
 //!
@@ -25,10 +27,14 @@
 //! assert_eq!(fleet.lease("cierre").unwrap().token, 2);
 //! ```
 
+pub mod client;
 pub mod holder;
 pub mod leader;
+pub mod lives;
 pub mod mutants;
+pub mod places;
 pub mod schedule;
+pub mod seats;
 pub mod state;
 pub mod tasks;
 pub mod time;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -9,8 +9,8 @@
 pub const MAX_MEMBERS: usize = 1024;
 /// Leases at once.
 pub const MAX_LEASES: usize = 512;
-/// Those that wait for one lease.
-pub const MAX_WAITERS: usize = 1024;
+/// Those that wait for one lease. With the bounds beside it the whole state has 8 MB at most: far beyond three in each line.
+pub const MAX_WAITERS: usize = 64;
 /// Tasks of which anything is known.
 pub const MAX_TASKS: usize = 128;
 /// Bytes of a name.
@@ -299,6 +299,18 @@
         self.members.get(&holder.member) == Some(&holder.incarnation)
     }
 
+    /// The part that concerns one start: the leases that it holds, and the tasks that run under them.
+    pub fn seen_by(&self, holder: &Holder) -> Fleet {
+        let leases: BTreeMap<String, Lease> = (self.leases.iter())
+            .filter(|(_, lease)| lease.holder == *holder)
+            .map(|(name, lease)| (name.clone(), Lease { waiters: VecDeque::new(), ..lease.clone() }))
+            .collect();
+        let seen = |task: &str| leases.contains_key(&lease_of_task(task));
+        let tasks = self.tasks.iter().filter(|(name, _)| seen(name));
+        let tasks = tasks.map(|(name, task)| (name.clone(), task.clone())).collect();
+        Fleet { leases, tasks, tokens: self.tokens, ..Fleet::default() }
+    }
+
     /// The whole state as bytes, the same for the same state.
     pub fn save(&self) -> Vec<u8> {
         // Writing into memory fails for nothing that the state holds.
