Add a member of the fleet: agreement by raft, its disk over redb, frames; and a disk to break

Need: leases rest on agreement that is durable before it is acknowledged, by a library, in a form that runs in a simulation as it runs in production.

Checked: unit tests of frames (cut at every byte, other versions and fleets), the log in memory, and the disk (torn sectors, full, a failed sync).

--- /dev/null
+++ b/crates/member/src/frame.rs
@@ -0,0 +1,401 @@
+//! What members say to each other, as bytes: the version first, then the fleet's name, who speaks, and what is said, in postcard. The
+//! frame round it, with its length, is a library's ([`crate::driver`]). Nothing here waits or reads.
+
+use jaspershunt_fleet::client::Answer;
+use jaspershunt_fleet::lives::{Life, Old};
+use jaspershunt_fleet::{Entry, Holder, Outcome};
+use raft::eraftpb;
+use serde::{Deserialize, Serialize};
+
+/// The version of this protocol. Another one is told by name, and nothing else of it is read.
+pub const VERSION: u16 = 1;
+/// The longest frame. The largest is a snapshot of the agreed state, whose bounds come to less.
+pub const MAX_FRAME: usize = 12 * 1024 * 1024;
+
+/// Who speaks, and what.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The fleet's name.
+    pub fleet: String,
+    /// Who speaks, with the incarnation.
+    pub from: Holder,
+    /// What is said.
+    pub said: Said,
+}
+
+/// What is said.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Said {
+    /// A voter says which start of its disk it is, and asks to be welcomed.
+    Life(Life),
+    /// That start is written down; or its disk is older than what it once promised.
+    Welcome {
+        /// The disk of the one that says so.
+        by: u64,
+        /// The start.
+        life: u64,
+        /// What was drawn for it.
+        nonce: u64,
+        /// Whether it is welcome.
+        verdict: Result<(), Old>,
+    },
+    /// Agreement among voters.
+    Raft(RaftMessage),
+    /// A member asks whether its leases go on.
+    Ask {
+        /// Which question.
+        number: u64,
+        /// What it would hold, where that has to be said.
+        wants: Option<Vec<String>>,
+        /// The disk with which it would vote, or votes.
+        disk: Option<u64>,
+    },
+    /// The one that leads answers.
+    Answer(Answer),
+    /// This voter does not lead.
+    NotLeader {
+        /// Who does, if that is known.
+        leader: Option<String>,
+    },
+    /// A member has an entry to be agreed.
+    Propose {
+        /// Which.
+        id: u64,
+        /// The entry.
+        entry: Entry,
+    },
+    /// What came of it; `None` if that is not known.
+    Proposed {
+        /// Which.
+        id: u64,
+        /// What came of it.
+        outcome: Option<Outcome>,
+    },
+    /// A member would see the agreed state.
+    Show {
+        /// Which question.
+        id: u64,
+    },
+    /// The agreed state, as far as this voter has it.
+    Shown {
+        /// Which question.
+        id: u64,
+        /// What is shown.
+        shown: Shown,
+    },
+}
+
+/// The agreed state as one voter has it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    /// The voter.
+    pub by: String,
+    /// Who leads, as far as it knows.
+    pub leader: Option<String>,
+    /// Milliseconds since it heard of the one that leads; 0 at that one itself.
+    pub age_ms: Option<u64>,
+    /// The term.
+    pub term: u64,
+    /// How many entries it has applied.
+    pub applied: u64,
+    /// The disks that take part: member, whether it votes, number.
+    pub seats: Vec<(String, bool, u64)>,
+    /// Milliseconds since each member was heard, where this voter leads.
+    pub heard_ms: Vec<(String, u64)>,
+    /// The agreed state ([`jaspershunt_fleet::Fleet::save`]).
+    pub fleet: Vec<u8>,
+}
+
+/// A message of the library for agreement. Its own form of bytes is never read from the wire.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RaftMessage {
+    kind: u8,
+    /// The disk that it is for.
+    pub to: u64,
+    /// The disk that says it.
+    pub from: u64,
+    /// In which term.
+    pub term: u64,
+    log_term: u64,
+    index: u64,
+    entries: Vec<LogEntry>,
+    commit: u64,
+    commit_term: u64,
+    snapshot: Option<Snapshot>,
+    request_snapshot: u64,
+    reject: bool,
+    reject_hint: u64,
+    context: Vec<u8>,
+    priority: i64,
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LogEntry {
+    kind: u8,
+    /// The term in which it was proposed.
+    pub term: u64,
+    /// Its place.
+    pub index: u64,
+    data: Vec<u8>,
+    context: Vec<u8>,
+}
+
+/// The agreed state at some place of the log.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The place.
+    pub index: u64,
+    /// The term of the entry there.
+    pub term: u64,
+    /// Who takes part there.
+    pub seats: Conf,
+    /// The state.
+    pub data: Vec<u8>,
+}
+
+/// Who takes part in agreement, as the library has it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Conf {
+    /// Those that vote.
+    pub voters: Vec<u64>,
+    /// Those that learn.
+    pub learners: Vec<u64>,
+}
+
+impl From<&eraftpb::ConfState> for Conf {
+    fn from(conf: &eraftpb::ConfState) -> Conf {
+        Conf { voters: conf.voters.clone(), learners: conf.learners.clone() }
+    }
+}
+
+impl From<&Conf> for eraftpb::ConfState {
+    fn from(conf: &Conf) -> eraftpb::ConfState {
+        eraftpb::ConfState::from((conf.voters.clone(), conf.learners.clone()))
+    }
+}
+
+impl From<&eraftpb::Entry> for LogEntry {
+    fn from(entry: &eraftpb::Entry) -> LogEntry {
+        LogEntry {
+            kind: entry.entry_type as u8,
+            term: entry.term,
+            index: entry.index,
+            data: entry.data.to_vec(),
+            context: entry.context.to_vec(),
+        }
+    }
+}
+
+impl From<LogEntry> for eraftpb::Entry {
+    fn from(entry: LogEntry) -> eraftpb::Entry {
+        let mut into = eraftpb::Entry::default();
+        into.set_entry_type(match entry.kind {
+            1 => eraftpb::EntryType::EntryConfChange,
+            2 => eraftpb::EntryType::EntryConfChangeV2,
+            _ => eraftpb::EntryType::EntryNormal,
+        });
+        (into.term, into.index) = (entry.term, entry.index);
+        (into.data, into.context) = (entry.data.into(), entry.context.into());
+        into
+    }
+}
+
+impl From<&eraftpb::Snapshot> for Snapshot {
+    fn from(snapshot: &eraftpb::Snapshot) -> Snapshot {
+        let at = snapshot.get_metadata();
+        let seats = at.get_conf_state().into();
+        Snapshot { index: at.index, term: at.term, seats, data: snapshot.data.to_vec() }
+    }
+}
+
+impl From<&Snapshot> for eraftpb::Snapshot {
+    fn from(snapshot: &Snapshot) -> eraftpb::Snapshot {
+        let mut into = eraftpb::Snapshot::default();
+        into.data = snapshot.data.clone().into();
+        let at = into.mut_metadata();
+        (at.index, at.term) = (snapshot.index, snapshot.term);
+        at.set_conf_state((&snapshot.seats).into());
+        into
+    }
+}
+
+/// The kinds of messages that one voter says to another, by their numbers. Others are a process's own.
+const KINDS: [eraftpb::MessageType; 14] = {
+    use eraftpb::MessageType::*;
+    [
+        MsgAppend,
+        MsgAppendResponse,
+        MsgRequestVote,
+        MsgRequestVoteResponse,
+        MsgSnapshot,
+        MsgHeartbeat,
+        MsgHeartbeatResponse,
+        MsgTransferLeader,
+        MsgTimeoutNow,
+        MsgReadIndex,
+        MsgReadIndexResp,
+        MsgRequestPreVote,
+        MsgRequestPreVoteResponse,
+        MsgUnreachable,
+    ]
+};
+
+impl RaftMessage {
+    /// A message on its way out; `None` for one that is for no other voter.
+    pub fn new(message: &eraftpb::Message) -> Option<RaftMessage> {
+        let kind = KINDS.iter().position(|kind| *kind == message.msg_type)?;
+        let has_snapshot = message.msg_type == eraftpb::MessageType::MsgSnapshot;
+        Some(RaftMessage {
+            kind: kind as u8,
+            to: message.to,
+            from: message.from,
+            term: message.term,
+            log_term: message.log_term,
+            index: message.index,
+            entries: message.entries.iter().map(LogEntry::from).collect(),
+            commit: message.commit,
+            commit_term: message.commit_term,
+            snapshot: has_snapshot.then(|| message.get_snapshot().into()),
+            request_snapshot: message.request_snapshot,
+            reject: message.reject,
+            reject_hint: message.reject_hint,
+            context: message.context.to_vec(),
+            priority: message.priority,
+        })
+    }
+
+    /// The library's form; `None` if the kind is none.
+    pub fn into_raft(self) -> Option<eraftpb::Message> {
+        let mut into = eraftpb::Message::default();
+        into.set_msg_type(*KINDS.get(usize::from(self.kind))?);
+        (into.to, into.from, into.term) = (self.to, self.from, self.term);
+        (into.log_term, into.index) = (self.log_term, self.index);
+        into.entries = self.entries.into_iter().map(eraftpb::Entry::from).collect::<Vec<_>>().into();
+        (into.commit, into.commit_term) = (self.commit, self.commit_term);
+        if let Some(snapshot) = &self.snapshot {
+            into.set_snapshot(snapshot.into());
+        }
+        (into.request_snapshot, into.reject, into.reject_hint) =
+            (self.request_snapshot, self.reject, self.reject_hint);
+        into.context = self.context.into();
+        into.priority = self.priority;
+        Some(into)
+    }
+
+    /// Up to where a follower that is told this must have written already: more than its disk has means that the disk is older than
+    /// what it once promised.
+    pub fn has_promised(&self) -> u64 {
+        match KINDS.get(usize::from(self.kind)) {
+            Some(eraftpb::MessageType::MsgHeartbeat) => self.commit,
+            _ => 0,
+        }
+    }
+
+    /// Up to where the one that says this has written, if it says so.
+    pub fn has_written(&self) -> Option<u64> {
+        let kind = KINDS.get(usize::from(self.kind))?;
+        (*kind == eraftpb::MessageType::MsgAppendResponse && !self.reject).then_some(self.index)
+    }
+}
+
+/// Why bytes are no message to this member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wrong {
+    /// Another version.
+    Version(u16),
+    /// Another fleet.
+    Fleet(String),
+    /// No message at all.
+    Garbled,
+}
+
+impl std::fmt::Display for Wrong {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Wrong::Version(version) => write!(f, "it speaks version {version}, this program {VERSION}"),
+            Wrong::Fleet(name) => write!(f, "it belongs to the fleet {name:?}"),
+            Wrong::Garbled => f.write_str("it says what no member says"),
+        }
+    }
+}
+
+/// The message as bytes.
+pub fn encode(envelope: &Envelope) -> Vec<u8> {
+    // Writing into memory fails for nothing that a message holds.
+    postcard::to_stdvec(&(VERSION, envelope)).unwrap_or_default()
+}
+
+/// The message of these bytes, to a member of this fleet.
+///
+/// # Errors
+/// They are none.
+pub fn decode(bytes: &[u8], fleet: &str) -> Result<Envelope, Wrong> {
+    let (version, rest) = postcard::take_from_bytes::<u16>(bytes).map_err(|_| Wrong::Garbled)?;
+    if version != VERSION {
+        return Err(Wrong::Version(version));
+    }
+    let (named, _) = postcard::take_from_bytes::<&str>(rest).map_err(|_| Wrong::Garbled)?;
+    if named != fleet {
+        return Err(Wrong::Fleet(named.chars().take(64).collect()));
+    }
+    let (envelope, rest) = postcard::take_from_bytes(rest).map_err(|_| Wrong::Garbled)?;
+    if rest.is_empty() { Ok(envelope) } else { Err(Wrong::Garbled) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn envelope(said: Said) -> Envelope {
+        Envelope { fleet: "cordoba".into(), from: Holder::new("n1", 3), said }
+    }
+
+    #[test]
+    fn what_is_said_comes_back_and_other_fleets_and_versions_are_named() {
+        let said = envelope(Said::Ask { number: 5, wants: Some(vec!["task/x".into()]), disk: Some(9) });
+        let bytes = encode(&said);
+        assert_eq!(decode(&bytes, "cordoba"), Ok(said));
+        assert_eq!(decode(&bytes, "salta"), Err(Wrong::Fleet("cordoba".into())));
+        let mut other = bytes.clone();
+        other[0] = 2;
+        assert_eq!(decode(&other, "cordoba"), Err(Wrong::Version(2)));
+        for cut in 0..bytes.len() {
+            assert!(decode(&bytes[..cut], "cordoba").is_err(), "{cut}");
+        }
+        let mut longer = bytes;
+        longer.push(0);
+        assert_eq!(decode(&longer, "cordoba"), Err(Wrong::Garbled));
+        // A length of what follows that is far beyond it.
+        assert_eq!(decode(&[1, 0xff, 0xff, 0xff, 0xff, 0x0f], "cordoba"), Err(Wrong::Garbled));
+    }
+
+    #[test]
+    fn messages_of_the_library_come_back_as_they_were() {
+        for kind in KINDS {
+            let mut message = eraftpb::Message::default();
+            message.set_msg_type(kind);
+            (message.to, message.from, message.term, message.index) = (1, 2, 3, 4);
+            (message.log_term, message.commit, message.commit_term) = (5, 6, 7);
+            (message.reject, message.reject_hint, message.request_snapshot) = (true, 8, 9);
+            (message.context, message.priority) = (vec![1, 2].into(), -3);
+            let mut entry = eraftpb::Entry::default();
+            entry.set_entry_type(eraftpb::EntryType::EntryConfChangeV2);
+            (entry.term, entry.index, entry.data, entry.context) = (3, 5, vec![7].into(), vec![8, 9].into());
+            message.entries = vec![entry].into();
+            if kind == eraftpb::MessageType::MsgSnapshot {
+                let seats = Conf { voters: vec![1, 2], learners: vec![3] };
+                message.set_snapshot((&Snapshot { index: 4, term: 3, seats, data: vec![4, 5] }).into());
+            }
+            let said = RaftMessage::new(&message).unwrap();
+            let bytes = encode(&envelope(Said::Raft(said)));
+            let Said::Raft(came) = decode(&bytes, "cordoba").unwrap().said else { panic!("{kind:?}") };
+            assert_eq!(came.into_raft().unwrap(), message, "{kind:?}");
+        }
+        // A process's own affairs are said to nobody, and taken from nobody.
+        let mut own = eraftpb::Message::default();
+        own.set_msg_type(eraftpb::MessageType::MsgHup);
+        assert_eq!(RaftMessage::new(&own), None);
+        assert!(RaftMessage { kind: 99, ..RaftMessage::default() }.into_raft().is_none());
+    }
+}
--- /dev/null
+++ b/crates/member/src/log.rs
@@ -0,0 +1,158 @@
+//! The log of a voter in memory, as the library for agreement reads it. What is here was written to disk first ([`crate::store`]).
+
+use crate::frame::{Conf, Snapshot};
+use raft::eraftpb::{ConfState, Entry, HardState};
+use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
+use std::collections::VecDeque;
+
+/// Entries behind the last snapshot, with that.
+#[derive(Debug, Default)]
+pub struct Log {
+    /// The term, the vote and how far is agreed.
+    pub hard: HardState,
+    /// Who takes part at the snapshot: entries behind it change that again as they are applied anew.
+    pub conf: Conf,
+    /// The state at the beginning of the entries.
+    pub snapshot: Snapshot,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    /// A log as it was found.
+    pub fn new(hard: HardState, snapshot: Snapshot, entries: Vec<Entry>) -> Log {
+        Log { hard, conf: snapshot.seats.clone(), snapshot, entries: entries.into() }
+    }
+
+    fn first(&self) -> u64 {
+        self.snapshot.index + 1
+    }
+
+    /// The place of the last entry.
+    pub fn last(&self) -> u64 {
+        self.snapshot.index + self.entries.len() as u64
+    }
+
+    /// The term and the place of the last entry.
+    pub fn position(&self) -> (u64, u64) {
+        (self.entries.back().map_or(self.snapshot.term, |entry| entry.term), self.last())
+    }
+
+    /// Entries that are kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// None are.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes in entries; those from the first of them on make way.
+    pub fn append(&mut self, entries: &[Entry]) {
+        let Some(first) = entries.first() else { return };
+        let keep = first.index.saturating_sub(self.first());
+        self.entries.truncate(keep as usize);
+        self.entries.extend(entries.iter().cloned());
+    }
+
+    /// Begins anew at a snapshot.
+    pub fn install(&mut self, snapshot: Snapshot) {
+        self.entries.clear();
+        self.hard.commit = self.hard.commit.max(snapshot.index);
+        self.hard.term = self.hard.term.max(snapshot.term);
+        (self.conf, self.snapshot) = (snapshot.seats.clone(), snapshot);
+    }
+
+    /// Lets go of what a snapshot covers.
+    pub fn trim(&mut self, snapshot: Snapshot) {
+        let gone = snapshot.index.saturating_sub(self.snapshot.index) as usize;
+        self.entries.drain(..gone.min(self.entries.len()));
+        (self.conf, self.snapshot) = (snapshot.seats.clone(), snapshot);
+    }
+
+    fn at(&self, index: u64) -> Option<&Entry> {
+        self.entries.get(index.checked_sub(self.first())? as usize)
+    }
+}
+
+impl Storage for Log {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        Ok(RaftState::new(self.hard.clone(), ConfState::from(&self.conf)))
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        _: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low < self.first() {
+            return Err(Error::Store(StorageError::Compacted));
+        }
+        if high > self.last() + 1 {
+            return Err(Error::Store(StorageError::Unavailable));
+        }
+        let range = (low - self.first()) as usize..(high - self.first()) as usize;
+        let mut entries: Vec<Entry> = self.entries.range(range).cloned().collect();
+        raft::util::limit_size(&mut entries, max_size.into());
+        Ok(entries)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        if index == self.snapshot.index {
+            return Ok(self.snapshot.term);
+        }
+        if index < self.first() {
+            return Err(Error::Store(StorageError::Compacted));
+        }
+        self.at(index).map(|entry| entry.term).ok_or(Error::Store(StorageError::Unavailable))
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.first())
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, request_index: u64, _: u64) -> raft::Result<raft::eraftpb::Snapshot> {
+        if self.snapshot.index < request_index || self.snapshot.index == 0 {
+            return Err(Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        Ok((&self.snapshot).into())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(term: u64, index: u64) -> Entry {
+        let mut entry = Entry::default();
+        (entry.term, entry.index) = (term, index);
+        entry
+    }
+
+    fn terms(log: &Log) -> Vec<u64> {
+        let all = log.entries(log.first(), log.last() + 1, None, GetEntriesContext::empty(false)).unwrap();
+        all.iter().map(|entry| entry.term).collect()
+    }
+
+    #[test]
+    fn entries_make_way_for_those_of_a_later_term_and_are_let_go_behind_a_snapshot() {
+        let mut log = Log::default();
+        log.append(&[entry(1, 1), entry(1, 2), entry(1, 3)]);
+        log.append(&[entry(2, 2), entry(2, 3), entry(2, 4)]);
+        assert_eq!((terms(&log), log.position()), (vec![1, 2, 2, 2], (2, 4)));
+        log.trim(Snapshot { index: 3, term: 2, ..Snapshot::default() });
+        assert_eq!((terms(&log), log.position(), log.term(3)), (vec![2], (2, 4), Ok(2)));
+        assert_eq!(log.term(2), Err(Error::Store(StorageError::Compacted)));
+        assert_eq!(log.term(5), Err(Error::Store(StorageError::Unavailable)));
+        log.install(Snapshot { index: 9, term: 4, ..Snapshot::default() });
+        assert_eq!((terms(&log), log.position(), log.hard.commit), (vec![], (4, 9), 9));
+        log.append(&[entry(4, 10)]);
+        assert_eq!(log.position(), (4, 10));
+    }
+}
--- /dev/null
+++ b/crates/member/src/member.rs
@@ -0,0 +1,369 @@
+//! A whole member: its side of the fleet, and the voter on its disk if it is one. No socket, thread, clock or random source: `now`,
+//! messages and what came of calls go in, messages and calls come out. The disk is reached through [`Disk`].
+
+use crate::frame::{Said, Shown};
+use crate::store::StoreError;
+use crate::voter::{Fault, Place, Voter};
+use jaspershunt_fleet::client::{Action, Client, Told};
+use jaspershunt_fleet::tasks::{Called, Spec};
+use jaspershunt_fleet::{Entry, Holder, Outcome, Terms};
+use redb::StorageBackend;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A disk that cannot be opened is tried again so often.
+const OPEN_EVERY: Duration = Duration::from_secs(1);
+/// Messages to itself that a member carries on with in one go; more means that something is wrong with this program.
+const MOST_IN_A_ROW: usize = 100_000;
+
+/// A voter's disk.
+pub trait Disk {
+    /// Opens it; where nothing is there it is new.
+    ///
+    /// # Errors
+    /// It cannot be opened.
+    fn open(&mut self) -> Result<Box<dyn StorageBackend>, StoreError>;
+
+    /// Puts aside what is there, so that the next one is new.
+    ///
+    /// # Errors
+    /// It cannot be.
+    fn set_aside(&mut self) -> Result<(), StoreError>;
+}
+
+/// What a member is told at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The fleet's name.
+    pub fleet: String,
+    /// This start.
+    pub me: Holder,
+    /// The members that are to vote.
+    pub voters: Vec<String>,
+    /// The terms of leases, the same for all.
+    pub terms: Terms,
+    /// The tasks of this member.
+    pub tasks: Vec<Spec>,
+}
+
+/// The time of a tick of all members of a fleet: a hundredth of a lease's, within bounds that a machine can keep.
+pub fn tick(terms: Terms) -> Duration {
+    (terms.ttl / 100).clamp(Duration::from_millis(10), Duration::from_millis(100))
+}
+
+/// To whom something is said.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum To {
+    /// A voter, whichever start of it is there.
+    Voter(String),
+    /// A start that has said something, over the link on which it did.
+    Holder(Holder),
+}
+
+/// What reaches a member.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// Time has passed.
+    Woke,
+    /// A member says something.
+    Heard {
+        /// Who.
+        from: Holder,
+        /// What.
+        said: Said,
+    },
+    /// What came of a call for a task.
+    Called {
+        /// The task.
+        task: String,
+        /// Which call.
+        number: u64,
+        /// What came of it.
+        came: Called,
+    },
+    /// An operator has an entry.
+    Propose {
+        /// Comes back with [`Output::Settled`].
+        ticket: u64,
+        /// The entry.
+        entry: Entry,
+    },
+    /// An operator would see the agreed state.
+    Show {
+        /// Comes back with [`Output::Shown`].
+        ticket: u64,
+    },
+    /// This start is about to end.
+    Leave,
+}
+
+/// What a member wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Say this.
+    Say {
+        /// To whom.
+        to: To,
+        /// What.
+        said: Said,
+    },
+    /// Call for a task; it has to be over by then, by this process's clock.
+    Call {
+        /// The task.
+        task: String,
+        /// Which call.
+        number: u64,
+        /// Shown to what is called.
+        token: u64,
+        /// The same over retries and holders.
+        key: u64,
+        /// Where it goes on.
+        cursor: Vec<u8>,
+        /// It has to leave this process by then, or not at all.
+        send_by: Duration,
+        /// The end.
+        until: Duration,
+    },
+    /// What came of an operator's entry; `None` if nobody knows.
+    Settled {
+        /// Whose.
+        ticket: u64,
+        /// What came of it.
+        outcome: Option<Outcome>,
+    },
+    /// The agreed state.
+    Shown {
+        /// For whom.
+        ticket: u64,
+        /// What is shown.
+        shown: Box<Shown>,
+    },
+    /// To be logged; `true` where operators should look.
+    Log(String, bool),
+    /// It has left, as far as that can be known.
+    Left,
+}
+
+/// A member.
+pub struct Member {
+    setup: Setup,
+    client: Client,
+    voter: Option<Voter>,
+    disk: Option<Box<dyn Disk>>,
+    open_at: Duration,
+    random: Box<dyn FnMut() -> u64>,
+    /// Operators' entries, by the client's number.
+    tickets: Vec<(u64, u64)>,
+    /// Why the disk could not be opened, as it was logged.
+    trouble: String,
+    has_left: bool,
+}
+
+impl Member {
+    /// A start of a member that votes if it has a disk. `unix` is the time by the wall clock.
+    pub fn new(
+        setup: Setup,
+        disk: Option<Box<dyn Disk>>,
+        random: Box<dyn FnMut() -> u64>,
+        now: Duration,
+        unix: i64,
+    ) -> Member {
+        let Setup { me, voters, terms, tasks, .. } = setup.clone();
+        let client = Client::new(me, terms, voters, tasks, unix);
+        let (tickets, trouble) = (Vec::new(), String::new());
+        Member { setup, client, voter: None, disk, open_at: now, random, tickets, trouble, has_left: false }
+    }
+
+    /// Its side of the fleet.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    /// Its voter, while that is there.
+    pub fn voter(&self) -> Option<&Voter> {
+        self.voter.as_ref()
+    }
+
+    /// Its voter, while that is there.
+    pub fn voter_mut(&mut self) -> Option<&mut Voter> {
+        self.voter.as_mut()
+    }
+
+    /// This start.
+    pub fn me(&self) -> &Holder {
+        &self.setup.me
+    }
+
+    /// Takes in one thing; what is to be done comes out, in order. `unix` is the time by the wall clock.
+    pub fn step(&mut self, now: Duration, unix: i64, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        let mut own = VecDeque::new();
+        match input {
+            Input::Woke => {
+                self.open(now, &mut outputs);
+                let said = self.voter.as_mut().map(|voter| voter.tick(now));
+                self.voter_said(said, &mut own, &mut outputs);
+            }
+            Input::Heard { from, said } => self.hear(now, from, said, &mut own, &mut outputs),
+            Input::Called { task, number, came } => self.client.called(now, &task, number, came),
+            Input::Propose { ticket, entry } => match self.client.propose(now, entry, true) {
+                Some(id) => self.tickets.push((id, ticket)),
+                None => outputs.push(Output::Settled { ticket, outcome: None }),
+            },
+            Input::Show { ticket } => {
+                let me = self.setup.me.member.clone();
+                let asks = if self.voter.is_some() { Some(me.as_str()) } else { self.client.asks() };
+                if let Some(asks) = asks.map(str::to_string) {
+                    self.send(To::Voter(asks), Said::Show { id: ticket }, &mut own, &mut outputs);
+                }
+            }
+            Input::Leave => self.client.leave(now),
+        }
+        let actions = self.client.step(now, unix);
+        self.take_up(actions, &mut own, &mut outputs);
+        for _ in 0..MOST_IN_A_ROW {
+            let Some(said) = own.pop_front() else { break };
+            self.hear(now, self.setup.me.clone(), said, &mut own, &mut outputs);
+        }
+        if self.client.has_left() && !std::mem::replace(&mut self.has_left, true) {
+            outputs.push(Output::Left);
+        }
+        outputs
+    }
+
+    fn open(&mut self, now: Duration, outputs: &mut Vec<Output>) {
+        let Some(disk) = &mut self.disk else { return };
+        if self.voter.is_some() || now < self.open_at {
+            return;
+        }
+        self.open_at = now + OPEN_EVERY;
+        let place = Place {
+            fleet: self.setup.fleet.clone(),
+            named: self.setup.voters.clone(),
+            terms: self.setup.terms,
+            tick: tick(self.setup.terms),
+        };
+        let random = [(self.random)(), (self.random)()];
+        let opened =
+            disk.open().and_then(|backend| Voter::open(backend, place, self.setup.me.clone(), random, now));
+        match opened {
+            Ok(voter) => {
+                outputs.push(Output::Log(format!("the voter's disk {:016x} is open", voter.disk()), false));
+                self.voter = Some(voter);
+                self.trouble.clear();
+            }
+            Err(e) => {
+                let trouble = e.to_string();
+                if trouble != self.trouble {
+                    outputs.push(Output::Log(format!("the voter's disk cannot be opened: {trouble}"), true));
+                    self.trouble = trouble;
+                }
+            }
+        }
+    }
+
+    fn hear(
+        &mut self,
+        now: Duration,
+        from: Holder,
+        said: Said,
+        own: &mut VecDeque<Said>,
+        outputs: &mut Vec<Output>,
+    ) {
+        match said {
+            Said::Answer(answer) => self.client.heard_answer(now, &from.member, &answer),
+            Said::NotLeader { leader } => self.client.heard_not_leader(&from.member, leader.as_deref()),
+            Said::Proposed { id, outcome } => {
+                let actions = self.client.heard_outcome(now, id, outcome);
+                self.take_up(actions, own, outputs);
+            }
+            Said::Shown { id, shown } => {
+                outputs.push(Output::Shown { ticket: id, shown: Box::new(shown) });
+            }
+            said => {
+                let said = self.voter.as_mut().map(|voter| voter.hear(now, &from, said));
+                self.voter_said(said, own, outputs);
+            }
+        }
+    }
+
+    fn voter_said(
+        &mut self,
+        said: Option<Result<Vec<(To, Said)>, Fault>>,
+        own: &mut VecDeque<Said>,
+        outputs: &mut Vec<Output>,
+    ) {
+        match said {
+            None => {}
+            Some(Ok(all)) => all.into_iter().for_each(|(to, said)| self.send(to, said, own, outputs)),
+            Some(Err(fault)) => {
+                // Whatever it has not said yet is never said.
+                self.voter = None;
+                match fault {
+                    Fault::Disk(e) => {
+                        let what = format!("the voter says nothing more until its disk is open again: {e}");
+                        outputs.push(Output::Log(what, true));
+                    }
+                    Fault::Old(why) => {
+                        let aside = self.disk.as_mut().map(|disk| disk.set_aside());
+                        let what = match aside {
+                            Some(Err(e)) => format!("and cannot be put aside: {e}"),
+                            _ => "it is put aside, and this voter begins anew with an empty one".into(),
+                        };
+                        let what =
+                            format!("the voter's disk is older than what it once promised ({why}): {what}");
+                        outputs.push(Output::Log(what, true));
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: To, said: Said, own: &mut VecDeque<Said>, outputs: &mut Vec<Output>) {
+        let me = &self.setup.me;
+        let is_own = match &to {
+            To::Voter(name) => *name == me.member,
+            To::Holder(holder) => holder == me,
+        };
+        if is_own {
+            own.push_back(said);
+        } else {
+            outputs.push(Output::Say { to, said });
+        }
+    }
+
+    fn take_up(&mut self, actions: Vec<Action>, own: &mut VecDeque<Said>, outputs: &mut Vec<Output>) {
+        for action in actions {
+            match action {
+                Action::Ask { to, number, wants } => {
+                    let disk = self.voter.as_ref().map(Voter::disk);
+                    self.send(To::Voter(to), Said::Ask { number, wants, disk }, own, outputs);
+                }
+                Action::Propose { to, id, entry } => {
+                    self.send(To::Voter(to), Said::Propose { id, entry }, own, outputs);
+                }
+                Action::Call { task, number, token, key, cursor, send_by, until } => {
+                    outputs.push(Output::Call { task, number, token, key, cursor, send_by, until });
+                }
+                Action::Settled { id, outcome } => {
+                    if let Some(place) = self.tickets.iter().position(|(other, _)| *other == id) {
+                        let (_, ticket) = self.tickets.swap_remove(place);
+                        outputs.push(Output::Settled { ticket, outcome });
+                    }
+                }
+                Action::Tell(Told::Holds { lease, token }) => {
+                    outputs.push(Output::Log(format!("holds {lease} under token {token}"), false));
+                }
+                Action::Tell(Told::Lost { lease, token }) => {
+                    outputs
+                        .push(Output::Log(format!("does not hold {lease} any more, token {token}"), false));
+                }
+                Action::Tell(Told::Outdated) => {
+                    let what = "a later start of this member is in the fleet, or its folder is an older copy: \
+                                this one holds nothing until that one has gone";
+                    outputs.push(Output::Log(what.to_string(), true));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/store.rs
@@ -0,0 +1,292 @@
+//! What a voter has promised, on disk: the number of its disk, its life, its vote, its log and a snapshot of the agreed state. A
+//! database of `redb` over a [`StorageBackend`], which is a file, or a simulated disk that forgets, tears and fails.
+//!
+//! What [`Store::write`] returned for is durable, all of it or nothing. After an error the store writes nothing more: what is on disk
+//! is not known until it is opened anew.
+
+use crate::frame::{Conf, LogEntry, Snapshot};
+use jaspershunt_fleet::lives::Known;
+use jaspershunt_fleet::mutants::{Mutant, left_out};
+use raft::eraftpb::{Entry, HardState};
+use redb::{Database, Durability, ReadableTable, StorageBackend, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Bytes of memory that the database may take for pages that it has read or is about to write.
+const CACHE: usize = 2 * 1024 * 1024;
+/// The form of what is written. A later one is refused by name.
+const FORM: u32 = 1;
+
+const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const IDENTITY: &str = "identity";
+const HARD: &str = "hard";
+const SNAPSHOT: &str = "snapshot";
+const LIVES: &str = "lives";
+
+/// Why a store cannot be used.
+#[derive(Debug)]
+pub enum StoreError {
+    /// The disk, or what is on it.
+    Disk(String),
+    /// Another process has it open.
+    InUse,
+    /// It belongs to another member, or another fleet.
+    Other {
+        /// To which fleet.
+        fleet: String,
+        /// To which member.
+        member: String,
+    },
+    /// A later program has written it.
+    Form(u32),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Disk(what) => write!(f, "the disk fails: {what}"),
+            StoreError::InUse => f.write_str("another process has it open"),
+            StoreError::Other { fleet, member } => {
+                write!(f, "it belongs to the member {member:?} of the fleet {fleet:?}")
+            }
+            StoreError::Form(form) => write!(f, "it has form {form}, this program knows {FORM}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+fn disk(e: impl fmt::Display) -> StoreError {
+    StoreError::Disk(e.to_string())
+}
+
+/// Whose it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    form: u32,
+    /// The fleet's name.
+    pub fleet: String,
+    /// The member's.
+    pub member: String,
+    /// The number of this disk, drawn when it was founded.
+    pub disk: u64,
+    /// Which start this is.
+    pub life: u64,
+    /// Drawn for this start.
+    pub nonce: u64,
+}
+
+/// What was found.
+#[derive(Debug)]
+pub struct Found {
+    /// Whose it is, with this start's life.
+    pub identity: Identity,
+    /// The term, the vote and how far is agreed.
+    pub hard: HardState,
+    /// The state at the beginning of the log.
+    pub snapshot: Snapshot,
+    /// The log behind it.
+    pub entries: Vec<Entry>,
+    /// What is known of the lives of other disks.
+    pub lives: BTreeMap<u64, Known>,
+    /// There was nothing there: the disk is founded now.
+    pub is_new: bool,
+}
+
+/// What is to be written in one go.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// The term, the vote and how far is agreed.
+    pub hard: Option<HardState>,
+    /// Entries; those from the first of them on make way.
+    pub entries: Vec<Entry>,
+    /// The log begins anew at this, and what it covers is let go; with `true` all of the log goes.
+    pub snapshot: Option<(Snapshot, bool)>,
+    /// What is known of the lives of other disks.
+    pub lives: Option<BTreeMap<u64, Known>>,
+}
+
+/// A store that is open.
+pub struct Store {
+    database: Database,
+    failed: bool,
+    last: u64,
+}
+
+/// Any backend.
+#[derive(Debug)]
+struct Boxed(Box<dyn StorageBackend>);
+
+impl StorageBackend for Boxed {
+    fn len(&self) -> Result<u64, std::io::Error> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, len: usize) -> Result<Vec<u8>, std::io::Error> {
+        self.0.read(offset, len)
+    }
+
+    fn set_len(&self, len: u64) -> Result<(), std::io::Error> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self, eventual: bool) -> Result<(), std::io::Error> {
+        self.0.sync_data(eventual)
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), std::io::Error> {
+        self.0.write(offset, data)
+    }
+}
+
+fn bytes(value: &impl Serialize) -> Vec<u8> {
+    // Writing into memory fails for nothing that is kept here.
+    postcard::to_stdvec(value).unwrap_or_default()
+}
+
+fn read<T: DeserializeOwned>(
+    table: &impl ReadableTable<&'static str, &'static [u8]>,
+    key: &str,
+) -> Result<Option<T>, StoreError> {
+    let Some(found) = table.get(key).map_err(disk)? else { return Ok(None) };
+    postcard::from_bytes(found.value()).map(Some).map_err(|e| disk(format!("{key}: {e}")))
+}
+
+impl Store {
+    /// Opens a store, or founds it where there is nothing, and writes down that it was started once more. `random` is drawn anew for
+    /// each start.
+    ///
+    /// # Errors
+    /// It cannot be used.
+    pub fn open(
+        backend: Box<dyn StorageBackend>,
+        fleet: &str,
+        member: &str,
+        random: [u64; 2],
+    ) -> Result<(Store, Found), StoreError> {
+        let database = Database::builder().set_cache_size(CACHE).create_with_backend(Boxed(backend));
+        let database = database.map_err(|e| match e {
+            redb::DatabaseError::DatabaseAlreadyOpen => StoreError::InUse,
+            e => disk(e),
+        })?;
+        let write = database.begin_write().map_err(disk)?;
+        let found = {
+            let mut meta = write.open_table(META).map_err(disk)?;
+            let log = write.open_table(LOG).map_err(disk)?;
+            let identity: Option<Identity> = read(&meta, IDENTITY)?;
+            let is_new = identity.is_none();
+            let [number, nonce] = random;
+            let mut identity = identity.unwrap_or_else(|| Identity {
+                form: FORM,
+                fleet: fleet.to_string(),
+                member: member.to_string(),
+                // No voter has the number 0.
+                disk: number.max(1),
+                life: 0,
+                nonce: 0,
+            });
+            if identity.form != FORM {
+                return Err(StoreError::Form(identity.form));
+            }
+            if identity.fleet != fleet || identity.member != member {
+                return Err(StoreError::Other { fleet: identity.fleet, member: identity.member });
+            }
+            // Guards against two starts on one disk that are taken for each other: written before anything is said.
+            (identity.life, identity.nonce) = (identity.life + 1, nonce);
+            meta.insert(IDENTITY, bytes(&identity).as_slice()).map_err(disk)?;
+            let (term, vote, commit): (u64, u64, u64) = read(&meta, HARD)?.unwrap_or_default();
+            let mut hard = HardState::default();
+            (hard.term, hard.vote, hard.commit) = (term, vote, commit);
+            let snapshot: Snapshot = read(&meta, SNAPSHOT)?.unwrap_or_default();
+            let lives = read(&meta, LIVES)?.unwrap_or_default();
+            let mut entries = Vec::new();
+            for entry in log.iter().map_err(disk)? {
+                let (index, entry) = entry.map_err(disk)?;
+                let entry: LogEntry = postcard::from_bytes(entry.value())
+                    .map_err(|e| disk(format!("entry {}: {e}", index.value())))?;
+                if entry.index != snapshot.index + 1 + entries.len() as u64 {
+                    return Err(disk(format!("entry {} is out of its place", index.value())));
+                }
+                entries.push(Entry::from(entry));
+            }
+            // What is agreed is written now and then only, and never beyond what is here.
+            hard.commit = hard.commit.max(snapshot.index).min(snapshot.index + entries.len() as u64);
+            Found { identity, hard, snapshot, entries, lives, is_new }
+        };
+        write.commit().map_err(disk)?;
+        let last = found.snapshot.index + found.entries.len() as u64;
+        Ok((Store { database, failed: false, last }, found))
+    }
+
+    /// Makes a new store the first voter of a new fleet, alone so far.
+    ///
+    /// # Errors
+    /// It cannot be written.
+    pub fn found(&mut self, disk: u64, state: Vec<u8>) -> Result<(), StoreError> {
+        let seats = Conf { voters: vec![disk], learners: Vec::new() };
+        let snapshot = Snapshot { index: 1, term: 1, seats, data: state };
+        let mut hard = HardState::default();
+        (hard.term, hard.commit) = (1, 1);
+        self.write(&Batch { hard: Some(hard), snapshot: Some((snapshot, true)), ..Batch::default() })
+    }
+
+    /// Whether it writes nothing more.
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Writes all of it, durably, or nothing.
+    ///
+    /// # Errors
+    /// The disk fails. From then on nothing is written.
+    pub fn write(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        if self.failed {
+            return Err(disk("it failed before"));
+        }
+        let written = self.try_write(batch);
+        // Guards against a disk that has failed once and says 'written' the next time: nobody knows what it has.
+        self.failed = written.is_err();
+        written
+    }
+
+    fn try_write(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        let mut write = self.database.begin_write().map_err(disk)?;
+        if left_out(Mutant::SaidBeforeSynced) {
+            write.set_durability(Durability::None);
+        }
+        let mut last = self.last;
+        {
+            let mut meta = write.open_table(META).map_err(disk)?;
+            let mut log = write.open_table(LOG).map_err(disk)?;
+            if let Some(hard) = &batch.hard {
+                let hard = bytes(&(hard.term, hard.vote, hard.commit));
+                meta.insert(HARD, hard.as_slice()).map_err(disk)?;
+            }
+            if let Some((snapshot, all)) = &batch.snapshot {
+                meta.insert(SNAPSHOT, bytes(snapshot).as_slice()).map_err(disk)?;
+                let up_to = if *all { u64::MAX } else { snapshot.index };
+                log.retain_in(0..=up_to, |_, _| false).map_err(disk)?;
+                last = if *all { snapshot.index } else { last.max(snapshot.index) };
+            }
+            if let Some(first) = batch.entries.first() {
+                if first.index <= last {
+                    log.retain_in(first.index.., |_, _| false).map_err(disk)?;
+                }
+                for entry in &batch.entries {
+                    let value = bytes(&LogEntry::from(entry));
+                    log.insert(entry.index, value.as_slice()).map_err(disk)?;
+                    last = entry.index;
+                }
+            }
+            if let Some(lives) = &batch.lives {
+                meta.insert(LIVES, bytes(lives).as_slice()).map_err(disk)?;
+            }
+        }
+        write.commit().map_err(disk)?;
+        self.last = last;
+        Ok(())
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -5,6 +5,7 @@
 //! crossed it; tests and experiments take the records for the truth. All need a local task set and one thread.
 //!
 //! - [`dependency`]: has slots, slows down when crowded, and can be slow, failing, refusing, hanging, down or noisy.
+//! - [`disk`]: forgets what was not synced, tears, fills up and fails, and is put back to an earlier state.
 //! - [`interpreter`]: runs requests on so many cores, asks for calls, and tells in each result what it got.
 //! - [`directory`]: takes reports.
 //! - [`balancer`]: sends requests over FastCGI and reads the answers.
@@ -18,6 +19,7 @@
 pub mod balancer;
 pub mod dependency;
 pub mod directory;
+pub mod disk;
 mod http;
 pub mod interpreter;
 pub mod link;
