Make a nodo a member of a fleet: tasks under leases, commands, five real nodos under faults

Need: the fleet's decisions and its member had no process; two holders that never act at once are to be shown with real ones.

Change: - The operator's file has `fleet` and `task` blocks, checked with line and column.

Found and mended on the way: a holder whose questions arrive and whose answers do not kept a lease for ever (`leader::is_deaf`); members that had nothing to say to a voter were closed every 2 s (they say that they are here).

--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -30,6 +30,8 @@
         wants: Option<Vec<String>>,
         /// What its clock on the wall shows.
         unix: i64,
+        /// The last question that was answered.
+        answered: u64,
     },
     /// Have this voter see to it that an entry is agreed.
     Propose {
@@ -261,8 +263,9 @@
                 (self.unanswered, self.asks) = (1, (self.asks + 1) % self.voters.len());
                 self.proposals.values_mut().for_each(|proposal| proposal.again = now);
             }
+            let answered = self.answered.map_or(0, |(number, _)| number);
             let wants = self.say_wants.then(|| self.wants.iter().cloned().collect());
-            actions.push(Action::Ask { to: self.voters[self.asks].clone(), number, wants, unix });
+            actions.push(Action::Ask { to: self.voters[self.asks].clone(), number, wants, unix, answered });
             let enrol = Entry::Enrol { holder: self.me().clone() };
             if !self.enrolled && !self.leaving {
                 self.propose(now, enrol, false);
--- a/crates/fleet/src/client/tests.rs
+++ b/crates/fleet/src/client/tests.rs
@@ -63,7 +63,7 @@
                 self.carry_out(n, actions);
             }
             let ending = self.leader.tick(self.now, &self.fleet);
-            let lining_up = self.places.tick(&self.fleet);
+            let lining_up = self.places.tick(&self.fleet, |_| true);
             ending.iter().chain(&lining_up).for_each(|entry| drop(self.fleet.apply(entry)));
         }
     }
@@ -71,7 +71,7 @@
     fn carry_out(&mut self, n: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Ask { to, number, wants, unix } => {
+                Action::Ask { to, number, wants, unix, answered } => {
                     self.asked.push(to.clone());
                     if self.silent {
                         continue;
@@ -82,6 +82,7 @@
                         continue;
                     }
                     let holder = self.members[n].me().clone();
+                    self.leader.acknowledged(self.now, &holder, answered);
                     if let Some(wants) = wants {
                         self.places.wants(&holder, wants);
                     }
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -43,8 +43,11 @@
     heard: BTreeMap<Holder, Duration>,
     /// When it saw a token first.
     granted: BTreeMap<u64, Duration>,
-    /// Tokens that operators took back, with when their holder was heard last before this was seen.
-    revoked: BTreeMap<u64, Duration>,
+    /// The last answer that each holder said it has had, and when that was news.
+    acknowledged: BTreeMap<Holder, (u64, Duration)>,
+    /// Tokens that do not go on, as operators took them back or their holder hears no answers; with when that one was heard last
+    /// before this was seen.
+    fading: BTreeMap<u64, Duration>,
     /// Tokens whose end is on its way into the log.
     ending: BTreeSet<u64>,
     /// Holders whose end is on its way.
@@ -63,7 +66,8 @@
             since: now,
             heard: BTreeMap::new(),
             granted: BTreeMap::new(),
-            revoked: BTreeMap::new(),
+            acknowledged: BTreeMap::new(),
+            fading: BTreeMap::new(),
             ending: BTreeSet::new(),
             going: BTreeSet::new(),
             questions: Vec::new(),
@@ -89,6 +93,20 @@
         true
     }
 
+    /// A holder says which answer it has had last. Where nobody says so all count as heard.
+    pub fn acknowledged(&mut self, now: Duration, holder: &Holder, answer: u64) {
+        let last = self.acknowledged.entry(holder.clone()).or_insert((answer, now));
+        if answer > last.0 {
+            *last = (answer, now);
+        }
+    }
+
+    /// Whether a holder asks, and has had no answer for a lease's time: what it holds is of no use to it.
+    pub fn is_deaf(&self, now: Duration, holder: &Holder) -> bool {
+        let last = self.acknowledged.get(holder);
+        last.is_some_and(|(_, at)| now.saturating_sub(*at) > self.terms.waited_for())
+    }
+
     /// Whether questions are answered without a majority: never, but where that rule is left out.
     pub fn answers_alone() -> bool {
         left_out(Mutant::RenewedByAMinority)
@@ -115,7 +133,10 @@
         self.under_way = 0;
         let answer = |question: Question| {
             // Guards against a lease that goes on here while its end is on its way into the log.
-            let goes_on = |token: &u64| !self.ending.contains(token) || left_out(Mutant::EndingGoesOn);
+            let goes_on = |token: &u64| {
+                (!self.ending.contains(token) || left_out(Mutant::EndingGoesOn))
+                    && !self.fading.contains_key(token)
+            };
             let holds = fleet.leases().filter(|(_, lease)| {
                 lease.holder == question.holder && !lease.revoked && goes_on(&lease.token)
             });
@@ -130,12 +151,13 @@
     pub fn tick(&mut self, now: Duration, fleet: &Fleet) -> Vec<Entry> {
         let waited = self.terms.waited_for();
         self.granted.retain(|token, _| fleet.leases().any(|(_, lease)| lease.token == *token));
-        self.revoked.retain(|token, _| fleet.leases().any(|(_, lease)| lease.token == *token));
+        self.fading.retain(|token, _| fleet.leases().any(|(_, lease)| lease.token == *token));
         self.ending.retain(|token| fleet.leases().any(|(_, lease)| lease.token == *token));
         let present = |holder: &Holder| fleet.is_present(holder);
         let known =
             |holder: &Holder| present(holder) || fleet.leases().any(|(_, lease)| lease.holder == *holder);
         self.heard.retain(|holder, _| known(holder));
+        self.acknowledged.retain(|holder, _| known(holder));
         self.going.retain(known);
         let mut entries = Vec::new();
         for (name, lease) in fleet.leases() {
@@ -143,12 +165,15 @@
             let granted = if left_out(Mutant::NewLeaderGrantsAtOnce) { Duration::ZERO } else { granted };
             // Guards against an early end under a new leader, which has not heard what the one before it told.
             let mut since = granted.max(self.last_heard(&lease.holder));
-            if lease.revoked {
-                // It does not go on from here on, and was told so until now: what it was told last is waited out.
-                since = *self.revoked.entry(lease.token).or_insert(since);
-                if left_out(Mutant::RevokedEndsAtOnce) {
+            // Guards against a holder whose questions arrive and whose answers do not: it would keep a lease that it cannot use.
+            if lease.revoked || self.is_deaf(now, &lease.holder) {
+                // It does not go on from here on, and was told that it does until now: what it was told last is waited out.
+                since = *self.fading.entry(lease.token).or_insert(since);
+                if lease.revoked && left_out(Mutant::RevokedEndsAtOnce) {
                     since = granted;
                 }
+            } else {
+                self.fading.remove(&lease.token);
             }
             if now.saturating_sub(since) > waited && self.ending.insert(lease.token) {
                 entries.push(Entry::Expire { lease: name.to_string(), token: lease.token });
--- a/crates/fleet/src/leader/tests.rs
+++ b/crates/fleet/src/leader/tests.rs
@@ -115,6 +115,38 @@
     assert_eq!(leader.tick(at(14.6), &fleet), [Entry::Expire { lease: "l".into(), token: 1 }]);
 }
 
+/// Its questions arrive and its answers do not: the lease ends, though not before the last answer that it may have had.
+#[test]
+fn a_holder_that_hears_nothing_loses_its_lease() {
+    let (mut leader, fleet) = (Leader::new(at(0.0), TERMS), fleet());
+    let mut ended = None;
+    for tenth in 0u32..400 {
+        let now = at(f64::from(tenth) / 10.0);
+        if tenth % 20 == 0 {
+            // Until 6 it hears the answers.
+            let heard = u64::from(tenth.min(60) / 20);
+            leader.acknowledged(now, &one(), heard);
+            leader.acknowledged(now, &two(), u64::from(tenth));
+            leader.asks(now, question(one(), u64::from(tenth)));
+            leader.asks(now, question(two(), u64::from(tenth)));
+            assert!(leader.wants_confirmation());
+            let answers = leader.confirmed(&fleet);
+            let holds = answers.iter().any(|answer| !answer.holds.is_empty());
+            assert_eq!(
+                holds,
+                !leader.is_deaf(at((f64::from(tenth) - 1.0).max(0.0) / 10.0), &one()),
+                "{tenth}"
+            );
+        }
+        if !leader.tick(now, &fleet).is_empty() {
+            ended = Some(tenth);
+            break;
+        }
+    }
+    // Deaf from 16.6 on, told last at 16, and that is waited out.
+    assert_eq!(ended, Some(266));
+}
+
 #[test]
 fn the_silent_do_not_hold_up_the_line_and_are_forgotten_at_last() {
     let (mut leader, mut fleet) = (Leader::new(at(0.0), TERMS), fleet());
--- a/crates/fleet/src/places.rs
+++ b/crates/fleet/src/places.rs
@@ -34,8 +34,8 @@
         self.wants.contains_key(holder)
     }
 
-    /// Who is to line up now. To be called often.
-    pub fn tick(&mut self, fleet: &Fleet) -> Vec<Entry> {
+    /// Who is to line up now, of those that are fit for it. To be called often.
+    pub fn tick(&mut self, fleet: &Fleet, fit: impl Fn(&Holder) -> bool) -> Vec<Entry> {
         self.ticks += 1;
         let now = self.ticks;
         self.wants.retain(|holder, _| fleet.is_present(holder));
@@ -67,7 +67,9 @@
                 })
                 .count();
             let free = |holder: &&Holder| {
-                !in_line(holder) && !self.said.contains_key(&(name.to_string(), (*holder).clone()))
+                fit(holder)
+                    && !in_line(holder)
+                    && !self.said.contains_key(&(name.to_string(), (*holder).clone()))
             };
             let mut candidates: Vec<&Holder> = holders.iter().copied().filter(free).collect();
             for _ in (line + on_the_way)..LINE {
@@ -107,7 +109,7 @@
         let (mut fleet, mut places, holders) = fleet(300);
         let mut said = 0;
         for _ in 0..10 {
-            let entries = places.tick(&fleet);
+            let entries = places.tick(&fleet, |_| true);
             assert!(entries.len() <= MOST_AT_ONCE);
             said += entries.len();
             entries.iter().for_each(|entry| drop(fleet.apply(entry)));
@@ -122,14 +124,14 @@
     #[test]
     fn what_was_lost_on_the_way_is_said_again() {
         let (fleet, mut places, _) = fleet(2);
-        let first = places.tick(&fleet).len();
+        let first = places.tick(&fleet, |_| true).len();
         assert_eq!(first, MOST_AT_ONCE);
-        let rest = places.tick(&fleet).len();
+        let rest = places.tick(&fleet, |_| true).len();
         assert_eq!(first + rest, 50 * 2);
         for _ in 0..SAY_AGAIN - 2 {
-            assert_eq!(places.tick(&fleet), []);
+            assert_eq!(places.tick(&fleet, |_| true), []);
         }
-        assert_eq!(places.tick(&fleet).len(), MOST_AT_ONCE);
+        assert_eq!(places.tick(&fleet, |_| true).len(), MOST_AT_ONCE);
     }
 
     /// A start that has gone lines up for nothing.
@@ -137,7 +139,7 @@
     fn an_earlier_start_lines_up_no_more() {
         let (mut fleet, mut places, holders) = fleet(1);
         fleet.apply(&Entry::Enrol { holder: Holder::new(&holders[0].member, 2) });
-        assert_eq!(places.tick(&fleet), []);
+        assert_eq!(places.tick(&fleet, |_| true), []);
         assert!(!places.knows(&holders[0]));
     }
 }
--- a/crates/member/src/frame.rs
+++ b/crates/member/src/frame.rs
@@ -26,6 +26,8 @@
 /// What is said.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Said {
+    /// A member is here: said first on each connection, and now and then where nothing else is.
+    Here,
     /// A voter says which start of its disk it is, and asks to be welcomed.
     Life(Life),
     /// That start is written down; or its disk is older than what it once promised.
@@ -51,6 +53,8 @@
         disk: Option<u64>,
         /// What its clock on the wall shows, in Unix seconds.
         unix: i64,
+        /// The last question whose answer it has had.
+        answered: u64,
     },
     /// The one that leads answers.
     Answer(Answer),
@@ -358,8 +362,13 @@
 
     #[test]
     fn what_is_said_comes_back_and_other_fleets_and_versions_are_named() {
-        let said =
-            envelope(Said::Ask { number: 5, wants: Some(vec!["task/x".into()]), disk: Some(9), unix: 7 });
+        let said = envelope(Said::Ask {
+            number: 5,
+            wants: Some(vec!["task/x".into()]),
+            disk: Some(9),
+            unix: 7,
+            answered: 4,
+        });
         let bytes = encode(&said);
         assert_eq!(decode(&bytes, "cordoba"), Ok(said));
         assert_eq!(decode(&bytes, "salta"), Err(Wrong::Fleet("cordoba".into())));
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -336,9 +336,9 @@
     fn take_up(&mut self, actions: Vec<Action>, own: &mut VecDeque<Said>, outputs: &mut Vec<Output>) {
         for action in actions {
             match action {
-                Action::Ask { to, number, wants, unix } => {
+                Action::Ask { to, number, wants, unix, answered } => {
                     let disk = self.voter.as_ref().map(Voter::disk);
-                    self.send(To::Voter(to), Said::Ask { number, wants, disk, unix }, own, outputs);
+                    self.send(To::Voter(to), Said::Ask { number, wants, disk, unix, answered }, own, outputs);
                 }
                 Action::Propose { to, id, entry } => {
                     self.send(To::Voter(to), Said::Propose { id, entry }, own, outputs);
--- a/crates/member/src/voter.rs
+++ b/crates/member/src/voter.rs
@@ -319,9 +319,10 @@
                 self.admission.welcomed(by);
             }
             Said::Raft(message) => self.hear_raft(now, from, message)?,
-            Said::Ask { number, wants, disk, unix } => {
+            Said::Ask { number, wants, disk, unix, answered } => {
                 if let Some(leading) = &mut self.leading {
                     leading.walls.heard(now, &from.member, unix);
+                    leading.leader.acknowledged(now, from, answered);
                 }
                 self.asked(now, from, number, wants, disk);
             }
@@ -448,7 +449,8 @@
         let fleet = &self.agreed.fleet;
         leading.walls.forget(now, 2 * self.place.terms.waited_for());
         let mut entries = leading.leader.tick(now, fleet);
-        entries.extend(leading.places.tick(fleet));
+        let leader = &leading.leader;
+        entries.extend(leading.places.tick(fleet, |holder| !leader.is_deaf(now, holder)));
         let mut all = true;
         for entry in entries {
             all &= self.propose(0, &entry);
--- a/crates/node/src/admin/line.rs
+++ b/crates/node/src/admin/line.rs
@@ -1,15 +1,16 @@
 //! The lines of operators' calls and of the answers to them. Nothing here waits or reads.
 
 use std::fmt;
-use winnow::ascii::{Caseless, space0};
-use winnow::combinator::{alt, terminated};
+use winnow::ascii::{Caseless, space0, space1};
+use winnow::combinator::{alt, preceded, terminated};
 use winnow::prelude::*;
+use winnow::token::take_while;
 
 /// The longest line that is read, its end included. The longest call takes a tenth of that.
 pub const MAX_LINE: usize = 128;
 
 /// What operators may call for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
     /// Whether this process takes clients.
     Ping,
@@ -19,6 +20,23 @@
     Lameduck,
     /// Take clients again.
     Rejoin,
+    /// Something of the fleet.
+    Fleet(Fleet),
+}
+
+/// What operators may call for that concerns the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fleet {
+    /// The agreed state.
+    Show,
+    /// Run a task now.
+    Run(String),
+    /// Stop a task.
+    Pause(String),
+    /// Let it go on.
+    Resume(String),
+    /// Take a lease back from its holder.
+    Release(String),
 }
 
 /// Why a line is no call.
@@ -62,15 +80,34 @@
         Caseless("INFO").value(Call::Info),
         Caseless("LAMEDUCK").value(Call::Lameduck),
         Caseless("REJOIN").value(Call::Rejoin),
+        preceded((Caseless("FLEET"), space1), fleet).map(Call::Fleet),
     ));
     terminated(word, space0).parse_next(line)
 }
 
+fn fleet(line: &mut &[u8]) -> ModalResult<Fleet> {
+    let name = || {
+        let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._/".contains(&b);
+        preceded(space1, take_while(1..=64, plain))
+            .map(|name: &[u8]| String::from_utf8_lossy(name).into_owned())
+    };
+    alt((
+        Caseless("SHOW").value(Fleet::Show),
+        preceded(Caseless("RUN"), name()).map(Fleet::Run),
+        preceded(Caseless("PAUSE"), name()).map(Fleet::Pause),
+        preceded(Caseless("RESUME"), name()).map(Fleet::Resume),
+        preceded(Caseless("RELEASE"), name()).map(Fleet::Release),
+    ))
+    .parse_next(line)
+}
+
 /// What is answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// Yes, with a remark.
     Yes(&'static str),
+    /// Yes, with what came of it.
+    Done(String),
     /// Yes, and the figures.
     Figures(String),
     /// No, and why.
@@ -81,6 +118,7 @@
     /// As it stands on the wire.
     pub fn text(&self) -> String {
         match self {
+            Answer::Done(what) => format!("+OK {what}\r\n"),
             Answer::Yes(remark) => format!("+OK {remark}\r\n"),
             Answer::Figures(figures) => format!("{figures}\r\n.\r\n"),
             Answer::No(why) => format!("-ERR {why}\r\n"),
--- a/crates/node/src/admin/line/tests.rs
+++ b/crates/node/src/admin/line/tests.rs
@@ -11,13 +11,27 @@
             let text = format!("{word}{end}");
             let whole = text.find('\n').unwrap();
             for cut in 0..=text.len() {
-                let expected = if cut > whole { Ok(Some(call)) } else { Ok(None) };
+                let expected = if cut > whole { Ok(Some(call.clone())) } else { Ok(None) };
                 assert_eq!(read(&text.as_bytes()[..cut]), expected, "{text:?} cut at {cut}");
             }
         }
     }
 }
 
+#[test]
+fn calls_of_the_fleet_name_a_task_or_a_lease() {
+    let read = |line: &str| read(line.as_bytes());
+    assert_eq!(read("FLEET SHOW\n"), Ok(Some(Call::Fleet(Fleet::Show))));
+    assert_eq!(read("fleet run cierre\r\n"), Ok(Some(Call::Fleet(Fleet::Run("cierre".into())))));
+    assert_eq!(
+        read("FLEET RELEASE task/cierre\n"),
+        Ok(Some(Call::Fleet(Fleet::Release("task/cierre".into()))))
+    );
+    for line in ["FLEET\n", "FLEET RUN\n", "FLEET RUN a b\n", "FLEETSHOW\n", "FLEET RUN a%\n"] {
+        assert_eq!(read(line), Err(NoCall::Unknown), "{line:?}");
+    }
+}
+
 #[test]
 fn other_lines_are_no_calls() {
     for line in ["\n", "PIN\n", "PINGS\n", "PING INFO\n", " PING\n", "\0PING\n", "GET / HTTP/1.1\r\n"] {
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::config::{CALLERS, Facts};
 use crate::counts::Counts;
-use crate::log;
+use crate::{fleet, log};
 use line::{Answer, Call, MAX_LINE, NoCall};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -73,6 +73,8 @@
     pub lost: Cell<bool>,
     /// Told when that is found.
     pub lost_now: Notify,
+    /// The way to this process's part of a fleet, while there is one.
+    pub fleet: RefCell<Option<fleet::Way>>,
     /// Balancers' connections that are open.
     pub connections: Rc<Cell<usize>>,
 }
@@ -199,6 +201,13 @@
         Call::Info => Answer::Figures(serde_json::to_string(&*desk.counts.borrow()).unwrap_or_default()),
         Call::Lameduck => order(orders, true, "clients are sent away").await,
         Call::Rejoin => order(orders, false, "taking clients again").await,
+        Call::Fleet(what) => {
+            let way = desk.fleet.borrow().clone();
+            match way {
+                Some(way) => fleet::answer(&way, what).await,
+                None => Answer::No("this nodo is in no fleet".to_string()),
+            }
+        }
     }
 }
 
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 pub mod capture;
+pub mod fleet;
 
 use crate::log::Form;
 use crate::{config, log};
@@ -41,6 +42,9 @@
     /// Look at captures: replay them, sum them up, tell the story of a request.
     #[command(subcommand)]
     Capture(capture::Captures),
+    /// Look at the fleet and its tasks, and have something done in it.
+    #[command(subcommand)]
+    Fleet(fleet::Fleets),
     /// Write an operator's file out with every default filled in.
     Explain {
         /// The operator's file, in HCL.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -31,6 +31,8 @@
 pub const OTHER_SOCKETS: usize = 96;
 /// Descriptors set aside for operators that call; one more is their listener.
 pub const CALLERS: usize = 16;
+/// Connections that are left for balancers, whatever else is on.
+const LEAST_CONNECTIONS: usize = 16;
 /// The most of those that calls to the database take.
 const CALL_SOCKETS: usize = 64;
 
@@ -206,6 +208,7 @@
         if !file.dependency.is_empty() {
             self.bounds.kept -= file.kept.bytes.0 as usize;
         }
+        self.bounds.connections -= crate::fleet::sockets(&file, &self.name);
         if let Some(capture) = &file.capture {
             self.bounds.kept -= capture.ring.0 as usize;
         }
@@ -238,8 +241,20 @@
             if file.capture != running.capture {
                 wrong.push("capture: changes with a restart only".to_string());
             }
+            if (&file.fleet, &file.task) != (&running.fleet, &running.task) {
+                wrong.push("fleet, task: change with a restart only".to_string());
+            }
             return wrong;
         }
+        wrong.extend(crate::fleet::against(file));
+        let sockets = crate::fleet::sockets(file, &self.name);
+        if sockets > 0 && sockets + LEAST_CONNECTIONS > self.bounds.connections {
+            let left = self.bounds.connections;
+            wrong.push(format!(
+                "fleet.links: the fleet takes {sockets} descriptors, and limits.sockets leaves {left} for it and for \
+                 balancers, who need {LEAST_CONNECTIONS}"
+            ));
+        }
         let most = self.bounds.kept / OPERATOR_KEPT_PART;
         if let Some(capture) = file.capture.as_ref().filter(|capture| capture.ring.0 as usize > most) {
             let ring = capture.ring;
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,295 @@
+//! The nodo as a member of a fleet, where the operator's file says so: what [`jaspershunt_member`] needs of the nodo, and what operators
+//! are shown and may have done. It runs on a thread of its own, so that neither holds the other up.
+
+use crate::admin::line::{Answer, Fleet as Asked};
+use crate::{http, log};
+use jaspershunt_fleet::holder::Grade;
+use jaspershunt_fleet::schedule::{Missed, When};
+use jaspershunt_fleet::state::{MAX_CURSOR, lease_of_task};
+use jaspershunt_fleet::tasks::{Called, Spec};
+use jaspershunt_fleet::{Entry, Fleet, Holder, Outcome, Terms};
+use jaspershunt_member::Setup;
+use jaspershunt_member::driver::{self, Call, Order, Place, now};
+use jaspershunt_member::frame::Shown;
+use jaspershunt_operator as operator;
+use jaspershunt_operator::File;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+
+/// The way to the member: what operators and the nodo want of it.
+pub type Way = mpsc::Sender<Order>;
+
+/// Orders that wait.
+const ORDERS: usize = 16;
+/// An operator's question is answered within this, or not at all: the answer is due within 1 s.
+const ANSWER_WITHIN: Duration = Duration::from_millis(800);
+/// How often it is seen whether this process has the nodo still.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// After a failure of the member it is begun again so much later.
+const BEGIN_AGAIN: Duration = Duration::from_secs(5);
+/// A member that leaves has so long to say so.
+const LEAVE_WITHIN: Duration = Duration::from_millis(500);
+/// Descriptors of the member beside its connections: its thread's own, the disk, the folder.
+const OTHER: usize = 12;
+
+/// Descriptors that a member of the fleet needs.
+pub fn sockets(file: &File, name: &str) -> usize {
+    let Some(fleet) = &file.fleet else { return 0 };
+    let guests = if fleet.voter.contains_key(name) { fleet.links + 1 } else { 0 };
+    OTHER + guests + fleet.voter.len() + file.task.len()
+}
+
+/// What of the file cannot be used, with the way to the key.
+pub fn against(file: &File) -> Vec<String> {
+    let wrong = file.task.iter().filter_map(|(name, task)| {
+        let why = when(task).err()?;
+        Some(format!("task.{name}.{}: {why}", if task.cron.is_some() { "cron" } else { "every" }))
+    });
+    wrong.collect()
+}
+
+fn when(task: &operator::Task) -> Result<When, String> {
+    match (&task.every, &task.cron) {
+        (Some(every), _) => When::every(every.0),
+        (None, Some(line)) => When::cron(line),
+        (None, None) => Err("needs every or cron, to say when".to_string()),
+    }
+}
+
+/// How safe the calls of a task are.
+pub fn grade(task: &operator::Task) -> Grade {
+    match task.grade {
+        operator::Grade::Checked => Grade::Checked,
+        operator::Grade::Timed => Grade::Timed { act: task.timeout.0, way: task.way.0 },
+    }
+}
+
+fn spec(name: &str, task: &operator::Task) -> Result<Spec, String> {
+    Ok(Spec {
+        name: name.to_string(),
+        when: when(task)?,
+        missed: match task.missed {
+            operator::Missed::Skip => Missed::Skip,
+            operator::Missed::Once => Missed::Once,
+            operator::Missed::Each => Missed::Each,
+        },
+        grade: grade(task),
+        timeout: task.timeout.0,
+        tries: task.tries,
+        wait: task.wait.0,
+        late: task.late.0,
+    })
+}
+
+/// What all members have agreed on beforehand.
+pub fn terms(fleet: &operator::Fleet) -> Terms {
+    Terms { ttl: fleet.ttl.0, drift: (fleet.drift.0 * 1000.0).round() as u32 }
+}
+
+/// Runs the member while this process `serves`, and leaves the fleet when it does not any more; ends once the nodo `leaves`. Whoever
+/// asks for the way to the member is told it by `publish`.
+pub async fn keep(
+    file: Rc<File>,
+    name: String,
+    serves: impl Fn() -> bool,
+    leaves: impl Fn() -> bool,
+    publish: impl Fn(Option<Way>),
+) {
+    loop {
+        while !serves() {
+            if leaves() {
+                return;
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        let (way, thread) = match start(&file, &name) {
+            Ok(Some(started)) => started,
+            Ok(None) => return,
+            Err(e) => {
+                log!(ERROR, "fleet: {e}; tried again later, requests are served as ever");
+                sleep(BEGIN_AGAIN).await;
+                continue;
+            }
+        };
+        publish(Some(way.clone()));
+        while serves() && !thread.is_finished() {
+            sleep(LOOK_EVERY).await;
+        }
+        let failed = serves();
+        publish(None);
+        let _ = way.try_send(Order::Leave);
+        // Another start needs the address and the disk that this one has.
+        let left = async {
+            while !thread.is_finished() {
+                sleep(LOOK_EVERY / 10).await;
+            }
+        };
+        // One that does not leave in time has said all that it could; its leases run out.
+        let left = timeout(LEAVE_WITHIN, left).await.is_ok();
+        drop(way);
+        if failed {
+            log!(ERROR, "fleet: this member has ended; it begins again, requests are served as ever");
+            sleep(BEGIN_AGAIN).await;
+        } else if !left {
+            log!(WARN, "fleet: this member leaves without an answer; what it held runs out");
+        }
+    }
+}
+
+/// Starts the member on a thread of its own.
+fn start(file: &File, name: &str) -> io::Result<Option<(Way, JoinHandle<()>)>> {
+    let Some(fleet) = &file.fleet else { return Ok(None) };
+    let folder = PathBuf::from(&fleet.folder);
+    let tasks = file.task.iter().map(|(name, task)| spec(name, task)).collect::<Result<Vec<_>, _>>();
+    let setup = Setup {
+        fleet: fleet.name.clone(),
+        me: Holder::new(name, driver::incarnation(&folder)?),
+        voters: fleet.voter.keys().cloned().collect(),
+        terms: terms(fleet),
+        tasks: tasks.map_err(io::Error::other)?,
+    };
+    let voters: BTreeMap<String, SocketAddr> =
+        fleet.voter.iter().map(|(name, voter)| (name.clone(), voter.address)).collect();
+    let listen = fleet.listen.or_else(|| voters.get(name).copied());
+    let place = Place { listen, voters, folder, links: fleet.links };
+    let targets: BTreeMap<String, (SocketAddr, String)> =
+        file.task.iter().map(|(name, task)| (name.clone(), (task.address, task.path.clone()))).collect();
+    let (way, orders) = mpsc::channel(ORDERS);
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let run = move || {
+        let targets = Rc::new(targets);
+        let call = move |call: Call| {
+            let targets = targets.clone();
+            async move {
+                match targets.get(&call.task) {
+                    Some((address, path)) => act(*address, path, &call).await,
+                    None => Called::Failed("the task is not in this nodo's file".into()),
+                }
+            }
+        };
+        let say = Rc::new(
+            |what: String, look: bool| {
+                if look { log!(WARN, "fleet: {what}") } else { log!("fleet: {what}") }
+            },
+        );
+        let me = setup.me.clone();
+        log!("fleet: {} takes part in {}, incarnation {:x}", me.member, setup.fleet, me.incarnation);
+        if let Err(e) = LocalSet::new().block_on(&runtime, driver::run(setup, place, orders, call, say)) {
+            log!(ERROR, "fleet: {e}");
+        }
+    };
+    let thread = std::thread::Builder::new().name("fleet".to_string()).spawn(run)?;
+    Ok(Some((way, thread)))
+}
+
+/// One call of a task.
+async fn act(address: SocketAddr, path: &str, call: &Call) -> Called {
+    let called = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {address}\r\nx-fleet-task: {}\r\nx-fleet-token: {}\r\nx-fleet-key: {}\r\n\
+             x-fleet-holder: {}/{:x}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+            call.task,
+            call.token,
+            call.key,
+            call.holder.member,
+            call.holder.incarnation,
+            call.cursor.len()
+        );
+        let request = [head.as_bytes(), &call.cursor].concat();
+        // Guards against a pause since the look at the lease: beyond this another may act.
+        if now() > call.send_by {
+            return Err(io::Error::other("too late to be sent"));
+        }
+        http::call(&mut stream, &request).await
+    };
+    match called.await {
+        Err(e) => Called::Failed(e.to_string()),
+        Ok(reply) if reply.body.len() > MAX_CURSOR => Called::Failed("its answer is over 1 KiB".into()),
+        Ok(reply) => match reply.head.status {
+            200 | 204 => Called::Done(reply.body),
+            202 => Called::More(reply.body),
+            412 => Called::TurnedAway,
+            status => Called::Failed(format!("it answers with status {status}")),
+        },
+    }
+}
+
+/// Answers an operator.
+pub async fn answer(way: &Way, what: Asked) -> Answer {
+    let late = || Answer::No("the fleet does not answer in time; say it again".to_string());
+    if what == Asked::Show {
+        let (answer, shown) = oneshot::channel();
+        let asked = way.try_send(Order::Show { answer }).is_ok();
+        return match timeout(ANSWER_WITHIN, shown).await {
+            Ok(Ok(shown)) if asked => Answer::Figures(show(&shown).to_string()),
+            _ => late(),
+        };
+    }
+    let entry = match what {
+        Asked::Show => return late(),
+        Asked::Run(task) => Entry::Ask { task },
+        Asked::Pause(task) => Entry::Pause { task, on: true },
+        Asked::Resume(task) => Entry::Pause { task, on: false },
+        Asked::Release(lease) => Entry::Revoke { lease },
+    };
+    let (answer, outcome) = oneshot::channel();
+    let asked = way.try_send(Order::Propose { entry, answer }).is_ok();
+    match timeout(ANSWER_WITHIN, outcome).await {
+        Ok(Ok(Some(Outcome::Refused(why)))) => Answer::No(why.to_string()),
+        Ok(Ok(Some(_))) if asked => Answer::Done("agreed".to_string()),
+        _ => late(),
+    }
+}
+
+/// The agreed state for operators.
+fn show(shown: &Shown) -> Value {
+    let fleet = Fleet::load(&shown.fleet).unwrap_or_default();
+    let heard: BTreeMap<&str, u64> = shown.heard_ms.iter().map(|(name, ms)| (name.as_str(), *ms)).collect();
+    let seat = |name: &str| shown.seats.iter().find(|(member, ..)| member == name);
+    let members: Vec<Value> = (fleet.members())
+        .map(|(name, incarnation)| {
+            let votes = seat(name).map(|(_, votes, _)| if *votes { "votes" } else { "learns" });
+            json!({"name": name, "incarnation": format!("{incarnation:x}"), "seat": votes, "heard_ms": heard.get(name)})
+        })
+        .collect();
+    let leases: Vec<Value> = (fleet.leases())
+        .map(|(name, lease)| {
+            let waiters: Vec<&str> = lease.waiters.iter().map(|waiter| waiter.member.as_str()).collect();
+            json!({"name": name, "holder": lease.holder.member, "token": lease.token, "revoked": lease.revoked,
+                "waiters": waiters})
+        })
+        .collect();
+    let tasks: Vec<Value> = (fleet.tasks())
+        .map(|(name, task)| {
+            let result = task.result.as_ref().map(|result| String::from_utf8_lossy(result).into_owned());
+            let run = task.run.as_ref().map(|run| {
+                json!({"due": run.due, "key": run.key, "token": run.token, "holders": run.holders,
+                    "cursor_bytes": run.cursor.len()})
+            });
+            let holder = fleet.lease(&lease_of_task(name)).map(|lease| lease.holder.member.as_str());
+            json!({"name": name, "holder": holder, "paused": task.paused, "asked": task.asked, "aside": task.aside,
+                "last_due": task.last_due, "run": run, "result": result})
+        })
+        .collect();
+    let seats: Vec<Value> = (shown.seats.iter())
+        .map(
+            |(member, votes, disk)| json!({"member": member, "votes": votes, "disk": format!("{disk:016x}")}),
+        )
+        .collect();
+    json!({"by": shown.by, "leader": shown.leader, "age_ms": shown.age_ms, "term": shown.term,
+        "applied": shown.applied, "tokens": fleet.tokens(), "seats": seats, "members": members, "leases": leases,
+        "tasks": tasks})
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`request`], which know no protocol. Round it: [`fastcgi`] speaks with balancers, [`interpreter`] with what does
 //! the work, [`database`] and [`directory`] (over [`http`]) with what all nodos share. [`keys`] remembers what may
 //! not run twice, [`config`] is where the platform's configuration is read, [`cli`] is the command line, and [`server`]
-//! puts the parts together.
+//! puts the parts together. [`fleet`] makes it a member of a fleet where the operator's file says so.
 
 pub mod admin;
 pub mod capture;
@@ -16,6 +16,7 @@
 pub mod directory;
 pub mod engine;
 pub mod fastcgi;
+pub mod fleet;
 pub mod http;
 pub mod interpreter;
 pub use jaspershunt_keys as keys;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -27,6 +27,7 @@
         Some(Command::Check { file, config }) => cli::check(&file, config.as_deref()),
         Some(Command::Explain { file, json }) => cli::write_out(&file, json),
         Some(Command::Capture(what)) => cli::capture::run(&what),
+        Some(Command::Fleet(what)) => cli::fleet::run(&what),
     }
 }
 
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -9,7 +9,7 @@
 use crate::upgrade::link::Place;
 use crate::upgrade::right::Alive;
 use crate::upgrade::{Keeper, Listeners};
-use crate::{database, directory, interpreter, log};
+use crate::{database, directory, fleet, interpreter, log};
 use jaspershunt_operator::File;
 use std::io;
 use std::net::SocketAddr;
@@ -223,6 +223,13 @@
         spawn_local(keeper.keep(serves));
     }
     log!("{} listens on {listens}", config.name);
+    if let Some(file) = config.operator.clone().filter(|file| file.fleet.is_some()) {
+        let (here, lost, idle, at) = (desk.clone(), desk.clone(), idle_in.subscribe(), desk.clone());
+        let serves = move || !here.leaves.get() && !here.lost.get() && !idle.borrow().passing;
+        let leaves = move || lost.leaves.get();
+        let publish = move |way| *at.fleet.borrow_mut() = way;
+        spawn_local(fleet::keep(file, config.name.clone(), serves, leaves, publish));
+    }
 
     leave.await;
     let told = Instant::now();
--- a/crates/operator/src/check.rs
+++ b/crates/operator/src/check.rs
@@ -1,6 +1,7 @@
 //! What only shows between the blocks of a file, and between the file and the platform's settings.
 
-use crate::{File, Repeat};
+use crate::units::Span;
+use crate::{File, Grade, Repeat};
 use std::collections::BTreeSet;
 
 /// The label of the call block that stands for all calls without one of their own.
@@ -13,9 +14,70 @@
     let mut wrong = Vec::new();
     dependencies(file, &mut wrong);
     routes(file, &mut wrong);
+    fleet(file, &mut wrong);
     wrong
 }
 
+fn fleet(file: &File, wrong: &mut Vec<(String, String)>) {
+    let mut told = |key: String, what: String| wrong.push((key, what));
+    if let Some(fleet) = &file.fleet {
+        if fleet.voter.len().is_multiple_of(2) {
+            let count = fleet.voter.len();
+            told(
+                "fleet.voter".into(),
+                format!("there are {count}: name 1, 3, 5 or 7, an even number bears no more"),
+            );
+        }
+        let mut seen = BTreeSet::new();
+        for (name, voter) in &fleet.voter {
+            let key = format!("fleet.voter.{name}");
+            if crate::a_name(name, &()).is_err() {
+                told(key.clone(), "must be named by 1 to 48 letters, digits, '-', '.' or '_'".to_string());
+            }
+            if voter.address.port() == 0 {
+                told(format!("{key}.address"), "must have a port above 0".to_string());
+            }
+            if !seen.insert(voter.address) {
+                told(format!("{key}.address"), "is another voter's as well".to_string());
+            }
+        }
+    }
+    for (name, task) in &file.task {
+        let key = |key: &str| format!("task.{name}.{key}");
+        if crate::a_name(name, &()).is_err() {
+            let what = "must be named by 1 to 48 letters, digits, '-', '.' or '_'".to_string();
+            told(format!("task.{name}"), what);
+        }
+        let Some(fleet) = &file.fleet else {
+            told(
+                format!("task.{name}"),
+                "needs a fleet block: it is done once for the whole fleet".to_string(),
+            );
+            continue;
+        };
+        match (task.every, &task.cron) {
+            (Some(_), Some(_)) => told(key("cron"), "stands beside every: one of them says when".to_string()),
+            (None, None) => told(format!("task.{name}"), "needs every or cron, to say when".to_string()),
+            (Some(every), None) if every < Span::ms(1000) => {
+                told(key("every"), "must be at least 1s".to_string());
+            }
+            _ => {}
+        }
+        let plain = task.path.bytes().all(|b| b.is_ascii_graphic());
+        if !task.path.starts_with('/') || !plain {
+            told(key("path"), "must begin with '/' and hold no spaces".to_string());
+        }
+        if task.address.port() == 0 {
+            told(key("address"), "must have a port above 0".to_string());
+        }
+        let act = task.timeout.0 + task.way.0;
+        if task.grade == Grade::Timed && act > fleet.ttl.0 / 2 {
+            let ttl = fleet.ttl;
+            told(key("timeout"), format!("with way it must be at most half of fleet.ttl, which is {ttl}"));
+        }
+    }
+}
+
 fn dependencies(file: &File, wrong: &mut Vec<(String, String)>) {
     let mut told = |name: &str, key: &str, what: String| {
         wrong.push((format!("dependency.{name}.{key}"), what));
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -36,7 +36,7 @@
     for (name, value) in value.as_object().into_iter().flatten() {
         match value {
             Value::Null => {}
-            Value::Object(entries) if name == "call" => {
+            Value::Object(entries) if name == "call" || name == "voter" => {
                 for (label, entry) in entries {
                     write_block(text, &format!("{name} {}", quoted(label)), entry, depth + 1);
                 }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -39,6 +39,8 @@
 pub const MAX_FILE: usize = 1024 * 1024;
 /// Dependencies and routes that a file may have.
 pub const MAX_BLOCKS: usize = 64;
+/// Members of a fleet that agree: as many as anybody needs.
+pub const MAX_VOTERS: usize = 7;
 /// Addresses of one dependency.
 pub const MAX_ADDRESSES: usize = 16;
 
@@ -66,6 +68,14 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[garde(dive)]
     pub capture: Option<Capture>,
+    /// The fleet that this nodo is a member of; none where it is left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(dive)]
+    pub fleet: Option<Fleet>,
+    /// What is to be done once for the whole fleet, by name.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    #[garde(dive, length(max = MAX_BLOCKS))]
+    pub task: BTreeMap<String, Task>,
 }
 
 /// One thing that lies below, and what this nodo may ask of it.
@@ -288,6 +298,119 @@
     pub refusals: Share,
 }
 
+/// The fleet that a nodo is a member of, by the nodo's name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Its name. Members of another fleet are turned away.
+    #[garde(custom(a_name))]
+    pub name: String,
+    /// What lasts of this member: how often it was started, and the disk of its voter.
+    #[garde(length(min = 1, max = 4096))]
+    pub folder: String,
+    /// Where others connect, if this nodo votes; its own address among the voters if left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(skip)]
+    pub listen: Option<SocketAddr>,
+    /// How long a lease lasts from when its holder asked for it to go on.
+    #[serde(default = "defaults::ttl")]
+    #[garde(custom(at_least_ms(500)))]
+    pub ttl: Span,
+    /// How far a clock's rate may be off, to either side.
+    #[serde(default = "defaults::drift")]
+    #[garde(custom(a_drift))]
+    pub drift: Share,
+    /// Connections of others at once, where this nodo votes.
+    #[serde(default = "defaults::links")]
+    #[garde(range(min = 1, max = 1024))]
+    pub links: usize,
+    /// The members that agree, the same in every member's file.
+    #[garde(dive, length(min = 1, max = MAX_VOTERS))]
+    pub voter: BTreeMap<String, Voter>,
+}
+
+/// A member that agrees.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Voter {
+    /// Where it listens, as seen from here.
+    #[garde(skip)]
+    pub address: SocketAddr,
+}
+
+/// How safe the calls of a task are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Grade {
+    /// What is called turns away every token under one that it has seen.
+    #[default]
+    Checked,
+    /// It cannot: calls and ways are bounded, and the next holder waits them out.
+    Timed,
+}
+
+/// What happens to times that nobody ran.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Missed {
+    /// They are let go.
+    Skip,
+    /// All of them together are run once.
+    #[default]
+    Once,
+    /// Each is run.
+    Each,
+}
+
+/// What is to be done once for the whole fleet: a call over HTTP.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Task {
+    /// Where it is called.
+    #[garde(skip)]
+    pub address: SocketAddr,
+    /// The path of the call.
+    #[serde(default = "defaults::path")]
+    #[garde(length(min = 1, max = 256))]
+    pub path: String,
+    /// It is due every so often, counted from the start of 1970.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(skip)]
+    pub every: Option<Span>,
+    /// It is due when this cron line says, in UTC.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[garde(skip)]
+    pub cron: Option<String>,
+    /// How safe its calls are.
+    #[serde(default)]
+    #[garde(skip)]
+    pub grade: Grade,
+    /// For one call.
+    #[serde(default = "defaults::call")]
+    #[garde(custom(at_least_ms(1)))]
+    pub timeout: Span,
+    /// The longest way to what is called, and the longest pause of this nodo; for timed calls.
+    #[serde(default = "defaults::way")]
+    #[garde(custom(at_least_ms(1)))]
+    pub way: Span,
+    /// Calls for one time by each holder, the first included.
+    #[serde(default = "defaults::tries")]
+    #[garde(range(min = 1, max = 1000))]
+    pub tries: u32,
+    /// Between two of them; twice as long each time.
+    #[serde(default = "defaults::pause")]
+    #[garde(custom(at_least_ms(1)))]
+    pub wait: Span,
+    /// What happens to times that nobody ran.
+    #[serde(default)]
+    #[garde(skip)]
+    pub missed: Missed,
+    /// For so long after its time a run counts as in time, where what was missed is let go.
+    #[serde(default = "defaults::late")]
+    #[garde(skip)]
+    pub late: Span,
+}
+
 impl Default for Limit {
     fn default() -> Limit {
         let (start, least) = (defaults::limit_start(), defaults::limit_least());
@@ -405,6 +528,33 @@
     pub fn snapshot() -> Span {
         Span::ms(10_000)
     }
+    pub fn ttl() -> Span {
+        Span::ms(10_000)
+    }
+    pub fn drift() -> Share {
+        Share::percent(5.0)
+    }
+    pub fn links() -> usize {
+        64
+    }
+    pub fn path() -> String {
+        "/".to_string()
+    }
+    pub fn call() -> Span {
+        Span::ms(2000)
+    }
+    pub fn way() -> Span {
+        Span::ms(1000)
+    }
+    pub fn tries() -> u32 {
+        5
+    }
+    pub fn pause() -> Span {
+        Span::ms(1000)
+    }
+    pub fn late() -> Span {
+        Span::ms(60_000)
+    }
     pub fn kept_bytes() -> Size {
         Size(1024 * 1024)
     }
@@ -424,6 +574,22 @@
     }
 }
 
+/// Names stand in paths, headers and lines of operators as they are.
+fn a_name(name: &str, _: &()) -> garde::Result {
+    let plain = name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._".contains(&b));
+    match plain && (1..=48).contains(&name.len()) {
+        true => Ok(()),
+        false => Err(garde::Error::new("must hold 1 to 48 letters, digits, '-', '.' or '_'")),
+    }
+}
+
+fn a_drift(drift: &Share, _: &()) -> garde::Result {
+    match drift.0 <= 0.2 {
+        true => Ok(()),
+        false => Err(garde::Error::new("must be at most 20%")),
+    }
+}
+
 fn above_nothing(share: &Share, _: &()) -> garde::Result {
     match share.0 > 0.0 {
         true => Ok(()),
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`dependency`]: has slots, slows down when crowded, and can be slow, failing, refusing, hanging, down or noisy.
 //! - [`disk`]: forgets what was not synced, tears, fills up and fails, and is put back to an earlier state.
+//! - [`fleet`]: several nodos as one fleet, every link between them one that can be broken.
 //! - [`interpreter`]: runs requests on so many cores, asks for calls, and tells in each result what it got.
 //! - [`directory`]: takes reports.
 //! - [`balancer`]: sends requests over FastCGI and reads the answers.
@@ -20,6 +21,7 @@
 pub mod dependency;
 pub mod directory;
 pub mod disk;
+pub mod fleet;
 mod http;
 pub mod interpreter;
 pub mod link;
--- a/crates/stand-ins/src/starts.rs
+++ b/crates/stand-ins/src/starts.rs
@@ -40,6 +40,10 @@
     pub directory: Directory,
     /// Where balancers connect.
     pub address: SocketAddr,
+    /// Its name.
+    pub name: String,
+    /// The operator's file for starts to come, if they have one.
+    pub operator: Option<String>,
     /// The interpreters, in the order of the starts that have one.
     pub interpreters: Vec<Interpreter>,
     program: PathBuf,
@@ -70,8 +74,19 @@
         port.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
         let address = port.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
         let (directory, interpreters) = (Directory::start().await, Vec::new());
-        let program = program.to_path_buf();
-        Ok(Nodo { folder, directory, address, interpreters, program, _port: port, started: 0 })
+        let (program, name) = (program.to_path_buf(), "n1".to_string());
+        let operator = None;
+        Ok(Nodo {
+            folder,
+            directory,
+            address,
+            name,
+            operator,
+            interpreters,
+            program,
+            _port: port,
+            started: 0,
+        })
     }
 
     /// Starts the program, with an interpreter of its own, and waits until it takes clients.
@@ -105,7 +120,8 @@
         self.started += 1;
         let config = self.folder.join(format!("config{}.json", self.started));
         let text = format!(
-            r#"{{"name":"n1","listen":"{}","admin":"127.0.0.1:0","vm":"{}","lookup":"{}","db":"127.0.0.1:9","settings":{SETTINGS}}}"#,
+            r#"{{"name":"{}","listen":"{}","admin":"127.0.0.1:0","vm":"{}","lookup":"{}","db":"127.0.0.1:9","settings":{SETTINGS}}}"#,
+            self.name,
             self.address,
             interpreter,
             self.directory.address()
@@ -114,6 +130,11 @@
         let mut command = Command::new(&self.program);
         command.env("NODE_CONFIG", &config).env("TMPDIR", &self.folder);
         command.env_remove("NODE_LISTEN").env_remove("NODE_ADMIN");
+        if let Some(operator) = &self.operator {
+            let file = self.folder.join("site.hcl");
+            std::fs::write(&file, operator)?;
+            command.args(["serve", "--operator"]).arg(&file);
+        }
         let process = Process::start(&mut command, &self.log(self.started))?;
         let admin = process.says("answers operators on ").await;
         let admin = admin.parse().map_err(|_| io::Error::other(format!("{admin} is no address")))?;
