Say a call of a task in one place, and pass over entries that cannot be read

An entry of the log that cannot be decoded left `Voter::applied` one behind, so that questions waited for the next entry: entries and changes have functions of their own now, and a test.

--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -42,23 +42,8 @@
         /// The entry.
         entry: Entry,
     },
-    /// Call for a task. It has to be over by then, by this process's clock.
-    Call {
-        /// The task.
-        task: String,
-        /// Which call.
-        number: u64,
-        /// Shown to what is called.
-        token: u64,
-        /// The same over retries and holders.
-        key: u64,
-        /// Where it goes on.
-        cursor: Vec<u8>,
-        /// It has to leave this process by then, or not at all.
-        send_by: Duration,
-        /// The end.
-        until: Duration,
-    },
+    /// Call for a task.
+    Call(Call),
     /// An entry of an operator's came to this; `None` if nobody knows.
     Settled {
         /// The entry's number.
@@ -70,6 +55,25 @@
     Tell(Told),
 }
 
+/// A call for a task. Times are by this process's clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// The task.
+    pub task: String,
+    /// Which call; comes back with what came of it.
+    pub number: u64,
+    /// Shown to what is called.
+    pub token: u64,
+    /// The same over retries and holders.
+    pub key: u64,
+    /// Where it goes on.
+    pub cursor: Vec<u8>,
+    /// It has to leave this process by then, or not at all.
+    pub send_by: Duration,
+    /// It has to be over by then.
+    pub until: Duration,
+}
+
 /// What operators are told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
@@ -332,7 +336,7 @@
                         _ => until,
                     };
                     let task = task.to_string();
-                    actions.push(Action::Call { task, number, token, key, cursor, send_by, until });
+                    actions.push(Action::Call(Call { task, number, token, key, cursor, send_by, until }));
                 }
                 // This is stepped often enough.
                 TaskAction::Wake(_) => {}
--- a/crates/fleet/src/client/tests.rs
+++ b/crates/fleet/src/client/tests.rs
@@ -106,7 +106,7 @@
                     self.carry_out(n, actions);
                 }
                 Action::Propose { .. } => {}
-                Action::Call { task, number, key, .. } => {
+                Action::Call(Call { task, number, key, .. }) => {
                     self.calls.push((self.members[n].me().member.clone(), number, key));
                     self.members[n].called(self.now, &task, number, Called::Done(b"ok".to_vec()));
                 }
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -2,6 +2,7 @@
 //! are simulated. Invariants are held after every step.
 
 use super::schedule::{At, FOUNDED, Fault, Sketch};
+use jaspershunt_fleet::client;
 use jaspershunt_fleet::holder::Grade;
 use jaspershunt_fleet::schedule::{Missed, When};
 use jaspershunt_fleet::state::lease_of_task;
@@ -46,7 +47,7 @@
     pub violation: Option<Violation>,
     /// Acts that had an effect.
     pub acts: u64,
-    /// Of the acts that had an effect, those of the baseline's reckoning: see [`World::naive`].
+    /// Acts that were turned away by their token.
     pub turned_away: u64,
     /// Leases granted.
     pub tokens: u64,
@@ -452,7 +453,8 @@
         for output in outputs {
             match output {
                 Output::Say { to, said } => self.send(process, &to, said),
-                Output::Call { task, number, token, key, send_by, until, .. } => {
+                Output::Call(wanted) => {
+                    let client::Call { task, number, token, key, send_by, until, .. } = wanted;
                     let task = task[1..].parse().unwrap_or(0);
                     let call = Call { task, number, token, key, send_by, until };
                     // The program is not at once where it sends, and may be paused on the way.
--- a/crates/member/src/driver.rs
+++ b/crates/member/src/driver.rs
@@ -9,6 +9,7 @@
 use crate::store::StoreError;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use jaspershunt_fleet::client::Call;
 use jaspershunt_fleet::tasks::Called;
 use jaspershunt_fleet::{Entry, Holder, Outcome};
 use redb::StorageBackend;
@@ -86,25 +87,6 @@
     Leave,
 }
 
-/// A call for a task.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// The task.
-    pub task: String,
-    /// Who calls.
-    pub holder: Holder,
-    /// Shown to what is called.
-    pub token: u64,
-    /// The same over retries and holders.
-    pub key: u64,
-    /// Where it goes on.
-    pub cursor: Vec<u8>,
-    /// Not a byte leaves after this, by [`now`].
-    pub send_by: Duration,
-    /// It is over by then.
-    pub until: Duration,
-}
-
 /// A monotone clock that goes on while the machine sleeps.
 pub fn now() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
@@ -393,7 +375,7 @@
     ended
 }
 
-/// Runs a member until it is told to leave and has left, or for ever. Needs a local set. `call` makes the calls of tasks, `log` writes
+/// Runs a member until it is told to leave and has left, or for ever. Needs a local set. `call` makes the calls of tasks for this start, `log` writes
 /// a line, with `true` where operators should look.
 ///
 /// # Errors
@@ -402,7 +384,7 @@
     setup: Setup,
     place: Place,
     mut orders: mpsc::Receiver<Order>,
-    call: impl Fn(Call) -> C + 'static,
+    call: impl Fn(Holder, Call) -> C + 'static,
     log: Rc<dyn Fn(String, bool)>,
 ) -> io::Result<()> {
     let me = setup.me.clone();
@@ -475,9 +457,9 @@
                     let envelope = Envelope { fleet: fleet.clone(), from: me.clone(), said };
                     links.send(&to, encode(&envelope).into());
                 }
-                Output::Call { task, number, token, key, cursor, send_by, until } => {
-                    let holder = me.clone();
-                    let made = call(Call { task: task.clone(), holder, token, key, cursor, send_by, until });
+                Output::Call(wanted) => {
+                    let (task, number, until) = (wanted.task.clone(), wanted.number, wanted.until);
+                    let made = call(me.clone(), wanted);
                     let back = came_in.clone();
                     spawn_local(async move {
                         let left = until.saturating_sub(now());
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -4,7 +4,7 @@
 use crate::frame::{Said, Shown};
 use crate::store::StoreError;
 use crate::voter::{Fault, Place, Voter};
-use jaspershunt_fleet::client::{Action, Client, Told};
+use jaspershunt_fleet::client::{Action, Call, Client, Told};
 use jaspershunt_fleet::tasks::{Called, Spec};
 use jaspershunt_fleet::{Entry, Holder, Outcome, Terms};
 use redb::StorageBackend;
@@ -112,23 +112,8 @@
         /// What.
         said: Said,
     },
-    /// Call for a task; it has to be over by then, by this process's clock.
-    Call {
-        /// The task.
-        task: String,
-        /// Which call.
-        number: u64,
-        /// Shown to what is called.
-        token: u64,
-        /// The same over retries and holders.
-        key: u64,
-        /// Where it goes on.
-        cursor: Vec<u8>,
-        /// It has to leave this process by then, or not at all.
-        send_by: Duration,
-        /// The end.
-        until: Duration,
-    },
+    /// Call for a task.
+    Call(Call),
     /// What came of an operator's entry; `None` if nobody knows.
     Settled {
         /// Whose.
@@ -349,9 +334,7 @@
                 Action::Propose { to, id, entry } => {
                     self.send(To::Voter(to), Said::Propose { id, entry }, own, outputs);
                 }
-                Action::Call { task, number, token, key, cursor, send_by, until } => {
-                    outputs.push(Output::Call { task, number, token, key, cursor, send_by, until });
-                }
+                Action::Call(call) => outputs.push(Output::Call(call)),
                 Action::Settled { id, outcome } => {
                     if let Some(place) = self.tickets.iter().position(|(other, _)| *other == id) {
                         let (_, ticket) = self.tickets.swap_remove(place);
--- a/crates/member/src/member/tests.rs
+++ b/crates/member/src/member/tests.rs
@@ -103,7 +103,7 @@
         let unix = 1000 + now.as_secs() as i64;
         let mut outputs = member.step(now, unix, Input::Woke);
         while let Some(output) = outputs.pop() {
-            if let Output::Call { task, number, .. } = &output {
+            if let Output::Call(Call { task, number, .. }) = &output {
                 let came = Called::Done(b"done".to_vec());
                 let (task, number) = (task.clone(), *number);
                 outputs.extend(member.step(now, unix, Input::Called { task, number, came }));
@@ -120,7 +120,7 @@
     let disk = founded();
     let (mut first, _) = member(disk.clone(), 1);
     let calls =
-        |outputs: &[Output]| outputs.iter().filter(|output| matches!(output, Output::Call { .. })).count();
+        |outputs: &[Output]| outputs.iter().filter(|output| matches!(output, Output::Call(_))).count();
     let came = play(&mut first, Duration::ZERO, Duration::from_secs(12));
     assert_eq!(calls(&came), 2, "at 1005 and 1010: {came:?}");
     let voter = first.voter().unwrap();
--- a/crates/member/src/voter.rs
+++ b/crates/member/src/voter.rs
@@ -634,26 +634,8 @@
             }
             match entry.entry_type {
                 EntryType::EntryNormal if entry.data.is_empty() => {}
-                EntryType::EntryNormal => {
-                    // What cannot be read is the same for every voter, and changes nothing.
-                    let Ok(said) = postcard::from_bytes::<Entry>(&entry.data) else { continue };
-                    let outcome = self.agreed.fleet.apply(&said);
-                    if let Ok((nonce, number)) = postcard::from_bytes::<(u64, u64)>(&entry.context)
-                        && nonce == self.identity.nonce
-                    {
-                        self.settle(number, Some(outcome));
-                    }
-                }
-                _ => {
-                    let Ok(change) = postcard::from_bytes::<Change>(&entry.context) else { continue };
-                    self.agreed.seats.apply(&change);
-                    let conf = self.node.apply_conf_change(&conf_change(&change));
-                    // A change that the library does not take is taken by no voter.
-                    if let Ok(conf) = conf {
-                        self.conf = (&conf).into();
-                        self.seats_changed = true;
-                    }
-                }
+                EntryType::EntryNormal => self.apply_entry(&entry),
+                _ => self.apply_change(&entry),
             }
             self.applied = (entry.term, entry.index);
             let leads = self.node.raft.state == StateRole::Leader && entry.term == self.node.raft.term;
@@ -673,6 +655,27 @@
         Ok(())
     }
 
+    /// What cannot be read is the same for every voter, and changes nothing.
+    fn apply_entry(&mut self, entry: &eraftpb::Entry) {
+        let Ok(said) = postcard::from_bytes::<Entry>(&entry.data) else { return };
+        let outcome = self.agreed.fleet.apply(&said);
+        if let Ok((nonce, number)) = postcard::from_bytes::<(u64, u64)>(&entry.context)
+            && nonce == self.identity.nonce
+        {
+            self.settle(number, Some(outcome));
+        }
+    }
+
+    fn apply_change(&mut self, entry: &eraftpb::Entry) {
+        let Ok(change) = postcard::from_bytes::<Change>(&entry.context) else { return };
+        self.agreed.seats.apply(&change);
+        // A change that the library does not take is taken by no voter.
+        if let Ok(conf) = self.node.apply_conf_change(&conf_change(&change)) {
+            self.conf = (&conf).into();
+            self.seats_changed = true;
+        }
+    }
+
     /// Takes a snapshot and lets go of what it covers, once that is much.
     fn trim(&mut self) -> Result<(), Fault> {
         let (term, index) = self.applied;
@@ -709,3 +712,6 @@
     let bytes = entry.data.iter().chain(entry.context.iter());
     bytes.fold(0xcbf2_9ce4_8422_2325, |print, byte| (print ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -3,13 +3,14 @@
 
 use crate::admin::line::{Answer, Fleet as Asked};
 use crate::{http, log};
+use jaspershunt_fleet::client::Call;
 use jaspershunt_fleet::holder::Grade;
 use jaspershunt_fleet::schedule::{Missed, When};
 use jaspershunt_fleet::state::{MAX_CURSOR, lease_of_task};
 use jaspershunt_fleet::tasks::{Called, Spec};
 use jaspershunt_fleet::{Entry, Fleet, Holder, Outcome, Terms};
 use jaspershunt_member::Setup;
-use jaspershunt_member::driver::{self, Call, Order, Place, now};
+use jaspershunt_member::driver::{self, Order, Place, now};
 use jaspershunt_member::frame::Shown;
 use jaspershunt_operator as operator;
 use jaspershunt_operator::File;
@@ -169,11 +170,11 @@
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let run = move || {
         let targets = Rc::new(targets);
-        let call = move |call: Call| {
+        let call = move |holder: Holder, call: Call| {
             let targets = targets.clone();
             async move {
                 match targets.get(&call.task) {
-                    Some((address, path)) => act(*address, path, &call).await,
+                    Some((address, path)) => act(*address, path, &holder, &call).await,
                     None => Called::Failed("the task is not in this nodo's file".into()),
                 }
             }
@@ -194,7 +195,7 @@
 }
 
 /// One call of a task.
-async fn act(address: SocketAddr, path: &str, call: &Call) -> Called {
+async fn act(address: SocketAddr, path: &str, holder: &Holder, call: &Call) -> Called {
     let called = async {
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -204,8 +205,8 @@
             call.task,
             call.token,
             call.key,
-            call.holder.member,
-            call.holder.incarnation,
+            holder.member,
+            holder.incarnation,
             call.cursor.len()
         );
         let request = [head.as_bytes(), &call.cursor].concat();
--- a/crates/node/tests/frozen.rs
+++ b/crates/node/tests/frozen.rs
@@ -1,11 +1,13 @@
 //! Several starts of one nodo, any of which is frozen and woken: by the interpreters' records no key runs twice and none is
 //! refused after it ran, and the one that serves at the end serves all.
 
-use jaspershunt_node::upgrade::link::{Reader, Writer, ends};
+#[path = "common/passing.rs"]
+mod passing;
+
 use jaspershunt_stand_ins::balancer::{Balancer, Request};
 use jaspershunt_stand_ins::starts::{Load, Nodo, Record, Start, keyed};
+use passing::pass_on;
 use std::cell::Cell;
-use std::os::fd::AsFd;
 use std::path::Path;
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
@@ -147,32 +149,6 @@
     });
 }
 
-/// Passes messages on between two processes, with the descriptors beside them, and says when so many have passed. What is
-/// frozen stays so for a while between two messages.
-async fn pass_on(messages: usize, earlier: UnixStream, later: UnixStream, reached: oneshot::Sender<()>) {
-    let (passed, reached) = (Cell::new(0), Cell::new(Some(reached)));
-    let ((mut from_earlier, mut to_earlier), (mut from_later, mut to_later)) = (ends(earlier), ends(later));
-    let pass = async |from: &mut Reader, to: &mut Writer| {
-        while let Ok((message, beside)) = from.next().await {
-            if passed.get() == messages
-                && let Some(reached) = reached.take()
-            {
-                let _ = reached.send(());
-                // The freeze falls before this message.
-                sleep(Duration::from_millis(5)).await;
-            }
-            passed.set(passed.get() + 1);
-            if to.send(&message, beside.as_ref().map(AsFd::as_fd)).await.is_err() {
-                return;
-            }
-        }
-    };
-    tokio::select! {
-        () = pass(&mut from_earlier, &mut to_later) => {}
-        () = pass(&mut from_later, &mut to_earlier) => {}
-    }
-}
-
 /// One of two starts is frozen at the n-th message of the hand-over, under load, for so long.
 async fn frozen_at(messages: usize, earlier_is: bool, length: Duration) {
     let what =
@@ -192,7 +168,18 @@
         let earlier = UnixStream::connect(&behind).await.unwrap();
         // What comes behind finds the earlier start itself.
         std::fs::rename(&behind, &socket).unwrap();
-        pass_on(messages, earlier, later, reach).await;
+        let reach = Cell::new(Some(reach));
+        let goes_on = async |passed| {
+            if passed == messages
+                && let Some(reach) = reach.take()
+            {
+                let _ = reach.send(());
+                // The freeze falls before this message.
+                sleep(Duration::from_millis(5)).await;
+            }
+            true
+        };
+        pass_on(earlier, later, goes_on).await;
     });
     let later = nodo.start_early().await.unwrap();
     timeout(GENEROUS, reached).await.unwrap_or_else(|_| panic!("{what}: {}", nodo.logs())).unwrap();
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -1,12 +1,12 @@
 //! The program started again while it serves: two processes as one nodo, under load, with stand-ins round them.
 
-use jaspershunt_node::upgrade::link::{Reader, Writer, ends};
+#[path = "common/passing.rs"]
+mod passing;
+
 use jaspershunt_stand_ins::balancer::{Balancer, Request};
 use jaspershunt_stand_ins::starts::{Load, Nodo, keyed};
-use std::cell::Cell;
-use std::os::fd::AsFd;
+use passing::pass_on;
 use std::path::Path;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::runtime::Builder;
@@ -63,27 +63,6 @@
     });
 }
 
-/// Passes messages on between two processes, with the descriptors beside them, and cuts the link after so many.
-async fn cut_after(messages: usize, earlier: UnixStream, later: UnixStream) {
-    let passed = Rc::new(Cell::new(0));
-    let ((mut from_earlier, mut to_earlier), (mut from_later, mut to_later)) = (ends(earlier), ends(later));
-    let pass = async |from: &mut Reader, to: &mut Writer| {
-        while let Ok((message, beside)) = from.next().await {
-            if passed.get() == messages {
-                return;
-            }
-            passed.set(passed.get() + 1);
-            if to.send(&message, beside.as_ref().map(AsFd::as_fd)).await.is_err() {
-                return;
-            }
-        }
-    };
-    tokio::select! {
-        () = pass(&mut from_earlier, &mut to_later) => {}
-        () = pass(&mut from_later, &mut to_earlier) => {}
-    }
-}
-
 /// The link is cut after each number of messages that an upgrade takes, under load. The later start finds the earlier one
 /// again or goes on without it; no key runs twice and none is refused, whatever is not known.
 #[test]
@@ -105,7 +84,7 @@
                 let earlier = UnixStream::connect(&behind).await.unwrap();
                 // What comes behind the cut finds the earlier start itself, unless that is gone.
                 std::fs::rename(&behind, &socket).unwrap();
-                cut_after(messages, earlier, later).await;
+                pass_on(earlier, later, async |passed| passed != messages).await;
             });
             let later = match timeout(Duration::from_secs(20), site.start()).await {
                 Ok(later) => later.unwrap(),
