Send keyed pairs at the wake as the right is taken, so that the test can fail

Seen: with `Claims::lost` made a no-op the test of a later start that wakes as the right is taken still passed, twice, also with the longer freezes: the moment in which two would run falls between the wake and the look, and its pairs were nearly over by then. Change: 80 pairs, 12 at once, from the wake on. Measured: fails 3 times of 3 without the guard, passes 3 times of 3 with it.

--- a/crates/node/tests/frozen.rs
+++ b/crates/node/tests/frozen.rs
@@ -341,6 +341,8 @@
                         spawn_local(async move { all.burst(address, "during", 40, 2, PATIENCE).await });
                     sleep(Duration::from_millis(1150 + 60 * n)).await;
                     later.process.thaw();
+                    // At the wake, when two might think that they serve.
+                    record.burst(nodo.address, "woken", 80, 12, PATIENCE).await;
                     burst.await.unwrap();
                     serves_again(&nodo, &record).await;
                     is_safe(&nodo, &record, "limit");
