Answer what has come before a connection is closed for room, time, or the end

Seen in a reading of the connection code, each forced by a new test (tests/crossing_connections.rs) that fails on the code before:

- hang_up stopped reading at once: a request that had come whole and was not read yet was dropped by the lingering close (test: 'the test hangs', the request was never handed over).
- The time-out of a half-read request closed the connection with no look at what had come since ('no answer after 0 polls'), and a half-read request was closed without a word, though its last byte may have been written by then ('an answer').
It is told that it never ran (protocol status OVERLOADED) before the close.
- make_room closed a connection that was never used without a look at what had come ('lost after 0 polls'), and asked the one at rest for longest again and again when that had a half-read request: it and the accepting task woke each other without end, and no new caller got in ('the test hangs').
- book(): peers that read nothing filled the room for unread answers, and whoever was answered next lost its connection ('an answer').
Now the one whose peer has read nothing for longest ends.
- The last accepts of a closing listener went beyond every bound ('44 open' of 20).
- Long records that never end were held outside of any budget ('1 were let go' of 2).
- A resting connection was closed with no shutdown before, so that bytes behind it cause a reset.

Lines at fault: fastcgi/connection.rs, accept, converse (hang_up, ask, give_up), book.

--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -2,7 +2,7 @@
 //! they come.
 
 use super::records::{LostFraming, Record, next_record, pairs, put_reply};
-use super::requests::{Budget, MAX_OPEN, Requests, Step, Whole};
+use super::requests::{Budget, MAX_OPEN, MAX_PARAMS, Requests, Room, Step, Whole};
 use crate::config::{Config, Facts};
 use crate::engine::Idle;
 use crate::engine::input::Input;
@@ -35,6 +35,8 @@
 const WHOLE_WITHIN: Duration = Duration::from_secs(2);
 /// For so long a connection that brought nothing yet counts as one that will.
 const NEWCOMER: Duration = Duration::from_millis(500);
+/// Between attempts to accept a connection where the system has none to give.
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 /// Bytes that belong to no open request and are read between two that do.
 const MAX_STRAY: usize = 256 * 1024;
 /// Before a connection closes on a peer that still sends, so much is read, for so long at most: a close with bytes
@@ -46,6 +48,13 @@
 /// Read at once. After so many reads with no wait between them the other tasks have their turn.
 const CHUNK: usize = 4 * 1024;
 const READS_A_TURN: u32 = 4;
+/// A record of this length fits any that a request can use; what is read of a longer one takes of the room for requests.
+const FREE_INPUT: usize = MAX_PARAMS + CHUNK;
+/// Reads of what had come to a connection by the time at which nothing more is read of it.
+const LAST_READS: u32 = 16;
+/// Connections beyond [`Front::most`] while the last ones of a closing listener are taken in: a part of the descriptors for
+/// calls, of which fewer and fewer are made then.
+const CLOSING_RESERVE: usize = 16;
 
 /// What all connections share.
 pub struct Front {
@@ -83,8 +92,12 @@
 struct Slot {
     /// It brought a request that makes sense.
     used: Cell<bool>,
-    /// No answer is owed on it.
+    /// It could be closed: no answer is owed on it, and no request that may still become whole is half read.
     quiet: Cell<bool>,
+    /// Since when its peer has read nothing of the answers that wait to be written.
+    stalled_since: Cell<Option<Instant>>,
+    /// It is to end, as its peer reads nothing and others need the room.
+    evict: Notify,
     last_traffic: Cell<Instant>,
     /// It was asked to make room.
     asked: Cell<bool>,
@@ -118,18 +131,37 @@
                 Ok((stream, peer)) => start(stream, peer, &front, Came::default()),
                 Err(e) => {
                     log!(WARN, "cannot accept a connection: {e}");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    tokio::time::sleep(ACCEPT_RETRY).await;
                 }
             },
             Ok(()) = idle.changed() => {}
             () = &mut stop => break,
         }
     }
-    // A request on a connection that the machine accepted counts as received: none may be left behind. The runtime
-    // looks at its sockets before it takes this up again.
-    tokio::task::yield_now().await;
-    while let Ok(Ok((stream, peer))) = timeout_at(Instant::now(), listener.accept()).await {
-        start(stream, peer, &front, Came::default());
+    take_in_backlog(&listener, &front).await;
+}
+
+/// Takes in the connections that the system has accepted for a listener that is about to close: a request on one of them
+/// counts as received, so none may be left behind. Descriptors are left for everything else here too, so that what is beyond
+/// them waits until a connection has ended; the caller bounds that wait.
+async fn take_in_backlog(listener: &TcpListener, front: &Rc<Front>) {
+    loop {
+        if front.open.get() + front.other.get() >= front.most + CLOSING_RESERVE {
+            let ended = front.ended.notified();
+            front.make_room();
+            ended.await;
+            continue;
+        }
+        // The runtime looks at its sockets before it takes this up again.
+        tokio::task::yield_now().await;
+        match timeout_at(Instant::now(), listener.accept()).await {
+            Ok(Ok((stream, peer))) => start(stream, peer, front, Came::default()),
+            Ok(Err(e)) => {
+                log!(WARN, "cannot accept a connection: {e}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+            Err(_) => return,
+        }
     }
 }
 
@@ -151,6 +183,8 @@
     let slot = Rc::new(Slot {
         used: Cell::new(came.used),
         quiet: Cell::new(true),
+        stalled_since: Cell::new(None),
+        evict: Notify::new(),
         last_traffic: Cell::new(Instant::now()),
         asked: Cell::new(false),
         ask: Notify::new(),
@@ -234,6 +268,25 @@
         }
     }
 
+    /// Books bytes of answers that wait to be written on this connection, beyond the bound if need be: then the connection whose
+    /// peer has read nothing for longest is asked to end. Fails if that is this one.
+    ///
+    /// Guards against peers that read nothing and take the room of those that do: each of these is owed its answers.
+    fn book_unwritten(&self, more: usize, slot: &Rc<Slot>) -> bool {
+        if self.unwritten.take(more) {
+            return true;
+        }
+        let slots = self.slots.borrow();
+        let stalled = slots.values().filter(|slot| slot.stalled_since.get().is_some());
+        let Some(longest) = stalled.min_by_key(|slot| slot.stalled_since.get()) else { return false };
+        if Rc::ptr_eq(longest, slot) {
+            return false;
+        }
+        longest.evict.notify_one();
+        self.unwritten.take_beyond(more);
+        true
+    }
+
     /// Tells the operator what a peer did wrong, now and then: there can be very many.
     fn fault(&self, peer: SocketAddr, what: &dyn std::fmt::Display) {
         if let Some(more) = self.faults.borrow_mut().admit_now() {
@@ -246,6 +299,8 @@
 enum End {
     /// All is done.
     Finished,
+    /// It was at rest, and is closed for that.
+    Idle,
     /// It goes to a later start.
     Passed,
     /// The peer has gone without waiting for its answers.
@@ -272,6 +327,8 @@
     slot: Rc<Slot>,
     input: Vec<u8>,
     output: Vec<u8>,
+    /// Room for what of `input` is longer than a record that is of use.
+    input_room: Room,
     /// Bytes of `output` that are booked.
     booked: usize,
     read_closed: bool,
@@ -292,6 +349,7 @@
         // Room for a reply to every request that may be open: handing one over never waits.
         let (reply_to, replies) = mpsc::channel(MAX_OPEN);
         let requests = Requests::new(front.held.clone());
+        let input_room = Room::new(front.held.clone());
         let now = Instant::now();
         Connection {
             stream,
@@ -303,6 +361,7 @@
             reply_to,
             slot,
             input: came.input,
+            input_room,
             output: Vec::new(),
             booked: 0,
             read_closed: false,
@@ -328,8 +387,14 @@
         if let End::Fault(what) = end {
             self.front.fault(self.peer, &what);
         }
-        if self.closing && !self.read_closed && !matches!(end, End::Gone) {
-            self.linger().await;
+        // What is left of its time, it cannot make room for another one.
+        self.slot.quiet.set(false);
+        match end {
+            End::Gone => {}
+            _ if self.read_closed => {}
+            End::Idle => self.linger(CROSSING).await,
+            _ if self.closing => self.linger(LINGER).await,
+            _ => {}
         }
         for id in self.requests.unanswered().collect::<Vec<_>>() {
             if let (Some(samples), Some(client)) = (&self.front.samples, self.clients.remove(&id)) {
@@ -373,16 +438,20 @@
             self.write()?;
         }
         loop {
-            // Guards against a reset as the program ends: what was read is answered, and the peer sees where the answers end. What
+            // Guards against a reset as the program ends: what has come is answered, and the peer sees where the answers end. What
             // it sends behind that crosses the close, and is not run.
-            self.closing |= idle.borrow().hang_up;
+            if idle.borrow().hang_up && !self.closing {
+                self.read_what_came().await?;
+                self.close_unfinished();
+                self.write()?;
+            }
             // What is not whole by now never will be: waiting for it would keep the connection open for ever.
             let no_more = self.closing || self.read_closed;
             let owed = self.requests.unanswered().next().is_some() || !self.output.is_empty();
             if no_more && !owed {
                 return Ok(End::Finished);
             }
-            self.slot.quiet.set(!owed);
+            self.slot.quiet.set(!owed && !(self.slot.used.get() && self.partial()));
             let (passing, last_call) = (idle.borrow().passing, idle.borrow().last_call);
             // Nothing is open, and what was read goes along: no request meets a closed connection.
             if passing && !owed && self.requests.is_empty() && !self.read_closed && !self.closing {
@@ -391,9 +460,7 @@
             let waits = last_call && passing && owed && !self.partial();
             let may_read = !self.read_closed && !self.closing && !waits && self.output.len() < MAX_UNWRITTEN;
             if idle.borrow().standing && self.may_close() {
-                // Guards against a reset over what comes between the look and the close.
-                self.closing = true;
-                return Ok(End::Finished);
+                return Ok(End::Idle);
             }
             if may_read {
                 self.input.reserve(CHUNK);
@@ -415,6 +482,10 @@
                     } else {
                         self.slot.last_traffic.set(Instant::now());
                         self.take_in().await?;
+                        if !self.input_room.set(self.input.len().saturating_sub(FREE_INPUT)) && !self.closing {
+                            self.lost("there is no room for the rest of a long record");
+                            self.close_unfinished();
+                        }
                         self.give_way(&mut reads).await;
                     }
                 }
@@ -426,18 +497,33 @@
                     }
                     let lapsed = changed.is_err() || self.slot.last_traffic.get().elapsed() >= limit;
                     if lapsed && self.may_close() {
-                        return Ok(End::Finished);
+                        return Ok(End::Idle);
                     }
                 }
                 () = self.slot.ask.notified() => {
-                    if !owed && (!self.slot.used.get() || self.may_close()) {
-                        return Ok(End::Finished);
+                    // Guards against a first request that has come whole and is not read yet.
+                    let useless = !self.slot.used.get() && silent(&self.stream);
+                    if !owed && (useless || self.may_close()) {
+                        self.close_unfinished();
+                        self.write()?;
+                        return Ok(End::Idle);
                     }
                     self.slot.asked.set(false);
                     self.front.ended.notify_waiters();
                 }
+                () = self.slot.evict.notified() => {
+                    return Err(End::Fault("too many answers are unread"));
+                }
                 () = sleep_until(give_up.unwrap_or(self.last_write)), if give_up.is_some() => {
-                    return Err(End::Fault("it brings no whole request in time"));
+                    // Guards against the rest of a request that has come in this moment and is not read yet.
+                    self.read_what_came().await?;
+                    if self.is_late() {
+                        self.front.fault(self.peer, &"it brings no whole request in time");
+                        if !self.partial() {
+                            return Ok(End::Idle);
+                        }
+                        self.close_unfinished();
+                    }
                 }
                 () = sleep_until(self.last_write + WRITE_STALL), if !self.output.is_empty() => {
                     return Err(End::Fault("its answers are not read"));
@@ -448,6 +534,12 @@
         }
     }
 
+    /// Whether a request, or the rest of one, has been waited for too long. One that is owed an answer was whole in time.
+    fn is_late(&self) -> bool {
+        let waits = self.waits_since.is_some_and(|since| since.elapsed() >= WHOLE_WITHIN);
+        waits && !self.closing && !self.read_closed && self.requests.unanswered().next().is_none()
+    }
+
     /// Notes since when a request is waited for that is not whole, or a first one that makes sense.
     fn note_wait(&mut self) {
         if self.slot.used.get() && !self.partial() {
@@ -457,11 +549,41 @@
         }
     }
 
+    /// Takes in what has come by now; no more than a peer that sends without end can make it.
+    async fn read_what_came(&mut self) -> Result<(), End> {
+        for _ in 0..LAST_READS {
+            if self.closing || self.read_closed || silent(&self.stream) {
+                break;
+            }
+            // The runtime learns of what has come as this lets the others have their turn.
+            tokio::task::yield_now().await;
+            self.input.reserve(CHUNK);
+            match self.stream.try_read_buf(&mut self.input) {
+                Ok(0) => self.read_closed = true,
+                Ok(_) => self.take_in().await?,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e.into()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Nothing more is read. Requests that are not whole never will be, and are told that they did not run: the peer may have
+    /// written the rest of them by now.
+    fn close_unfinished(&mut self) {
+        self.closing = true;
+        let before = self.output.len();
+        self.requests.refuse_unfinished(&mut self.output);
+        let more = self.output.len() - before;
+        self.front.unwritten.take_beyond(more);
+        self.booked += more;
+    }
+
     /// Ends what is sent and reads on for a little, behind answers to a peer that may still send.
-    async fn linger(&mut self) {
+    async fn linger(&mut self, longest: Duration) {
         let _ = self.stream.shutdown().await;
         let leaves = self.front.idle.borrow().standing;
-        let until = Instant::now() + if leaves { CROSSING } else { LINGER };
+        let until = Instant::now() + if leaves { CROSSING } else { longest };
         let mut scratch = vec![0; CHUNK];
         let mut left = MAX_LINGER;
         while let Ok(Ok(n @ 1..)) = timeout_at(until, self.stream.read(&mut scratch)).await {
@@ -608,7 +730,7 @@
     /// Books what waits to be written. A peer that reads nothing is let go before the memory is full.
     fn book(&mut self) -> Result<(), End> {
         let more = self.output.len().saturating_sub(self.booked);
-        if !self.front.unwritten.take(more) {
+        if !self.front.book_unwritten(more, &self.slot) {
             return Err(End::Fault("too many answers are unread"));
         }
         self.booked += more;
@@ -634,6 +756,7 @@
         }
         self.front.unwritten.give(self.booked - self.output.len());
         self.booked = self.output.len();
+        self.slot.stalled_since.set((!self.output.is_empty()).then_some(self.last_write));
         Ok(())
     }
 }
--- a/crates/node/src/fastcgi/requests.rs
+++ b/crates/node/src/fastcgi/requests.rs
@@ -9,7 +9,7 @@
 /// Requests that may be open on a connection.
 pub const MAX_OPEN: usize = 32;
 /// The most bytes of parameters of one request; those that are asked for take a tenth of that.
-const MAX_PARAMS: usize = 8 * 1024;
+pub const MAX_PARAMS: usize = 8 * 1024;
 
 /// Bytes that all connections together may hold, so that no number of peers can take the memory.
 #[derive(Clone, Debug)]
@@ -34,12 +34,47 @@
         fits
     }
 
+    /// Takes so many bytes whether or not there is room.
+    pub fn take_beyond(&self, bytes: usize) {
+        self.used.set(self.used.get() + bytes);
+    }
+
     /// Gives back what was taken.
     pub fn give(&self, bytes: usize) {
         self.used.set(self.used.get().saturating_sub(bytes));
     }
 }
 
+/// Bytes of a budget that are given back when this is dropped.
+#[derive(Debug)]
+pub struct Room {
+    budget: Budget,
+    taken: usize,
+}
+
+impl Room {
+    /// None is taken yet.
+    pub fn new(budget: Budget) -> Room {
+        Room { budget, taken: 0 }
+    }
+
+    /// Takes or gives back until so many bytes are taken; whether there was room for them.
+    pub fn set(&mut self, bytes: usize) -> bool {
+        if bytes > self.taken && !self.budget.take(bytes - self.taken) {
+            return false;
+        }
+        self.budget.give(self.taken.saturating_sub(bytes));
+        self.taken = bytes;
+        true
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.budget.give(self.taken);
+    }
+}
+
 /// A request whose last byte was read.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Whole {
@@ -117,6 +152,16 @@
         !open.keep_conn
     }
 
+    /// Closes the requests that are not whole: they never ran, as `out` says.
+    pub fn refuse_unfinished(&mut self, out: &mut Vec<u8>) {
+        let unfinished: Vec<u16> =
+            self.open.iter().filter(|(_, open)| !open.whole).map(|(id, _)| *id).collect();
+        for id in unfinished {
+            put_end(out, id, ProtocolStatus::Overloaded);
+            self.close(id);
+        }
+    }
+
     /// Takes in a record. What can be answered at once is written to `out`.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/node/tests/crossing_connections.rs
@@ -0,0 +1,557 @@
+//! Events that cross on balancers' connections: the real connection code over loopback, with the test in the place of the engine.
+//!
+//! Whether bytes come before or after a decision is forced by order: a writer goes on by single polls of the same thread, so that every
+//! place between two polls of the connection's task is tried, or it writes before the connection's task can run at all.
+
+mod common;
+use common::*;
+use jaspershunt_node::config::Facts;
+use jaspershunt_node::engine::Idle;
+use jaspershunt_node::engine::input::{Input, QUEUE};
+use jaspershunt_node::fastcgi::connection::{Front, accept};
+use jaspershunt_node::fastcgi::records::{kind, put_record};
+use jaspershunt_node::fastcgi::requests::Budget;
+use jaspershunt_node::request::{Answer, Reply, ReplyTo};
+use socket2::SockRef;
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{JoinHandle, spawn_local, yield_now};
+use tokio::time::{advance, timeout};
+
+/// Polls after which a writer writes, from none: more than any task here takes from one event to the next.
+const POLLS: u32 = 12;
+/// Longer than a connection may take to bring its first request, and than one may rest that is to make room.
+const USELESS: Duration = Duration::from_millis(600);
+/// How long the rest of a request is waited for.
+const WHOLE_WITHIN: Duration = Duration::from_secs(2);
+/// The protocol status of a request that never ran.
+const OVERLOADED: u8 = 2;
+
+/// The connection code, listening, with the test as its engine.
+struct Server {
+    address: SocketAddr,
+    front: Rc<Front>,
+    work: mpsc::Receiver<Input>,
+    idle: watch::Sender<Idle>,
+    stop: Option<oneshot::Sender<()>>,
+    accepts: JoinHandle<()>,
+    _facts: watch::Sender<Rc<Facts>>,
+}
+
+impl Server {
+    /// Accepts so many connections at once.
+    async fn start(most: usize) -> Server {
+        Server::with(|front| front.most = most).await
+    }
+
+    async fn with(change: impl FnOnce(&mut Front)) -> Server {
+        let (listener, address) = listener().await;
+        Server::on(listener, address, change)
+    }
+
+    fn on(listener: TcpListener, address: SocketAddr, change: impl FnOnce(&mut Front)) -> Server {
+        let config = config(address, address, address, address);
+        let (engine, work) = mpsc::channel(QUEUE);
+        let (idle, idle_out) = watch::channel(Idle::default());
+        let (facts, facts_out) = watch::channel(Rc::new(config.facts()));
+        let mut front = Front::new(&config, engine, idle_out, facts_out, Rc::new(Cell::new(0)));
+        change(&mut front);
+        let front = Rc::new(front);
+        let (stop, stopped) = oneshot::channel::<()>();
+        let accepting = accept(Rc::new(listener), front.clone(), async move {
+            let _ = stopped.await;
+        });
+        Server {
+            address,
+            front,
+            work,
+            idle,
+            stop: Some(stop),
+            accepts: spawn_local(accepting),
+            _facts: facts,
+        }
+    }
+
+    async fn connect(&self) -> Peer {
+        connect(self.address).await
+    }
+
+    /// The way back of the next request that is handed to the engine.
+    async fn handed_over(&mut self) -> ReplyTo {
+        loop {
+            match self.work.recv().await.unwrap() {
+                Input::Work { reply, .. } => return reply,
+                Input::Gone { .. } => {}
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
+    /// A connection on which a request was answered.
+    async fn used(&mut self) -> Peer {
+        let mut peer = self.connect().await;
+        self.serve(&mut peer).await;
+        peer
+    }
+
+    /// Sends one request and has it served.
+    async fn serve(&mut self, peer: &mut Peer) {
+        peer.send(whole()).await;
+        served(self.handed_over().await, b"first");
+        assert!(peer.answer().await.unwrap().1.ends_with("first"));
+    }
+
+    /// Answers all that is handed over from here on, in the background.
+    fn serve_all(self) -> ServedByItself {
+        let Server { address, front, mut work, idle, stop, accepts, _facts } = self;
+        spawn_local(async move {
+            let _facts = _facts;
+            while let Some(input) = work.recv().await {
+                match input {
+                    Input::Work { reply, .. } => served(reply, b"made"),
+                    Input::Check { reply } => {
+                        reply.send(Reply::new(Answer::Health { good: true }, None));
+                    }
+                    _ => {}
+                }
+            }
+        });
+        ServedByItself { address, front, _idle: idle, stop, accepts }
+    }
+}
+
+/// A server whose engine serves whatever comes.
+struct ServedByItself {
+    address: SocketAddr,
+    front: Rc<Front>,
+    _idle: watch::Sender<Idle>,
+    stop: Option<oneshot::Sender<()>>,
+    accepts: JoinHandle<()>,
+}
+
+impl ServedByItself {
+    async fn connect(&self) -> Peer {
+        connect(self.address).await
+    }
+}
+
+/// Connects; what is written leaves at once, so that the order of writes is that of their arrival.
+async fn connect(address: SocketAddr) -> Peer {
+    let stream = TcpStream::connect(address).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    Peer::new(stream)
+}
+
+fn served(reply: ReplyTo, result: &[u8]) {
+    reply.send(Reply::new(Answer::Served(result.into()), None));
+}
+
+fn whole() -> Vec<u8> {
+    request(1, 7, "read", &[], b"body")
+}
+
+/// Lets every other task of this thread that can go on do so once.
+async fn one_poll() {
+    let mut polled = false;
+    poll_fn(|context| {
+        if std::mem::replace(&mut polled, true) {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
+/// Whether the end of the connection has come to this side.
+fn has_ended(peer: &Peer) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    matches!(SockRef::from(&peer.stream).peek(&mut byte), Ok(0))
+}
+
+/// Writes bytes, unless the end of the connection has come by then; whether they left.
+fn put(peer: &Peer, bytes: &[u8]) -> bool {
+    !has_ended(peer) && peer.stream.try_write(bytes).is_ok_and(|n| n == bytes.len())
+}
+
+/// Has a writer write after so many polls, and returns the connection and whether the bytes left before its end was known.
+async fn put_after(peer: Peer, polls: u32, bytes: Vec<u8>) -> (Peer, bool) {
+    for _ in 0..polls {
+        one_poll().await;
+    }
+    let left = put(&peer, &bytes);
+    (peer, left)
+}
+
+/// Until the connections that are open are as many.
+async fn until_open(front: &Front, connections: usize) {
+    while front.open.get() != connections {
+        yield_now().await;
+    }
+}
+
+#[test]
+fn a_first_request_that_crosses_the_call_to_make_room_is_answered() {
+    paused(async {
+        let mut crossed = 0;
+        for polls in 0..POLLS {
+            let server = Server::start(3).await.serve_all();
+            let (resting, other) = (server.connect().await, server.connect().await);
+            until_open(&server.front, 2).await;
+            advance(USELESS).await;
+            // A third caller has the longest at rest asked to make room, in the same poll in which it is taken in; from there on the
+            // polls are counted after which the first request of the one that was asked comes.
+            let front = server.front.clone();
+            let writer = spawn_local(async move {
+                while front.open.get() < 3 {
+                    one_poll().await;
+                }
+                put_after(resting, polls, whole()).await
+            });
+            let mut third = server.connect().await;
+            let (mut resting, left) = writer.await.unwrap();
+            third.send(whole()).await;
+            if left {
+                crossed += 1;
+                let answer = resting.answer().await;
+                assert!(answer.is_some_and(|a| a.1.ends_with("made")), "lost after {polls} polls");
+            }
+            assert!(third.answer().await.unwrap().1.ends_with("made"));
+            drop(other);
+        }
+        assert!(crossed > 0, "no request came before the end");
+    });
+}
+
+#[test]
+fn who_can_close_is_asked_to_make_room_before_one_with_a_half_read_request() {
+    local(async {
+        let mut server = Server::start(3).await;
+        let mut half_read = server.used().await;
+        let mut resting = server.used().await;
+        let second = request(1, 8, "read", &[], b"body");
+        // The one with the half-read request has been at rest for longer than the other by the time that room is wanted.
+        half_read.send(&second[..60]).await;
+        server.serve(&mut resting).await;
+        let mut caller = server.connect().await;
+        server.serve(&mut caller).await;
+        assert!(resting.answer().await.is_none(), "the other one made room");
+        half_read.send(&second[60..]).await;
+        served(server.handed_over().await, b"second");
+        assert!(half_read.answer().await.unwrap().1.ends_with("second"));
+    });
+}
+
+#[test]
+fn the_rest_of_a_request_that_crosses_its_time_out_is_answered() {
+    paused(async {
+        let mut refused = 0;
+        for polls in 0..POLLS {
+            let server = Server::start(4).await.serve_all();
+            let peer = server.connect().await;
+            until_open(&server.front, 1).await;
+            let bytes = whole();
+            assert!(put(&peer, &bytes[..40]));
+            yield_now().await;
+            let rest = bytes[40..].to_vec();
+            // The timer of the connection and that of the writer fire in the same millisecond.
+            let writer = spawn_local(async move {
+                tokio::time::sleep(WHOLE_WITHIN).await;
+                put_after(peer, polls, rest).await
+            });
+            let (mut peer, left) = writer.await.unwrap();
+            let answer = peer.answer().await;
+            let (_, text, status) = answer.unwrap_or_else(|| panic!("no answer after {polls} polls"));
+            assert!(text.ends_with("made") || status == OVERLOADED, "{text}");
+            assert!(left || status == OVERLOADED);
+            refused += u32::from(status == OVERLOADED);
+            assert!(text.is_empty() || peer.is_silent(), "two answers");
+        }
+        println!("{refused} of {POLLS} were refused");
+    });
+}
+
+#[test]
+fn a_half_read_request_is_refused_before_its_connection_closes_for_it() {
+    paused(async {
+        for used in [false, true] {
+            let mut server = Server::start(4).await;
+            let mut peer = if used { server.used().await } else { server.connect().await };
+            peer.send(&whole()[..40]).await;
+            let (id, text, status) = peer.answer().await.expect("an answer");
+            assert_eq!((id, &text[..], status), (1, "", OVERLOADED));
+            assert!(peer.answer().await.is_none());
+        }
+    });
+}
+
+#[test]
+fn a_request_that_came_before_the_last_look_at_its_connection_is_answered() {
+    local(async {
+        let mut server = Server::start(8).await;
+        let (resting, half_read, new) = (server.used().await, server.used().await, server.connect().await);
+        until_open(&server.front, 3).await;
+        let bytes = whole();
+        assert!(put(&half_read, &bytes[..40]));
+        yield_now().await;
+        // Between these there is no place in which the connections' tasks could run.
+        assert!(put(&resting, &bytes) && put(&half_read, &bytes[40..]) && put(&new, &bytes));
+        server.idle.send_modify(|idle| idle.hang_up = true);
+        for _ in 0..3 {
+            served(server.handed_over().await, b"made");
+        }
+        for mut peer in [resting, half_read, new] {
+            assert!(peer.answer().await.expect("an answer").1.ends_with("made"));
+            assert!(peer.answer().await.is_none(), "and then the end");
+        }
+    });
+}
+
+#[test]
+fn what_is_half_read_at_the_last_look_is_refused_and_nothing_else_is_said() {
+    local(async {
+        let mut server = Server::start(8).await;
+        let (mut half_read, mut half_a_record) = (server.used().await, server.used().await);
+        let bytes = whole();
+        half_read.send(&bytes[..40]).await;
+        // Less than the record that begins the request.
+        half_a_record.send(&bytes[..5]).await;
+        yield_now().await;
+        server.idle.send_modify(|idle| idle.hang_up = true);
+        let (_, text, status) = half_read.answer().await.expect("an answer");
+        assert_eq!((&text[..], status), ("", OVERLOADED));
+        assert!(half_read.answer().await.is_none() && half_a_record.answer().await.is_none());
+    });
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_a_resting_connection_is_answered() {
+    local(async {
+        let close = [
+            |idle: &mut Idle| idle.limit = Duration::ZERO,
+            |idle: &mut Idle| (idle.limit, idle.standing) = (Duration::ZERO, true),
+        ];
+        for close in close {
+            let mut server = Server::start(8).await;
+            let mut resting = server.used().await;
+            assert!(put(&resting, &whole()));
+            server.idle.send_modify(close);
+            served(server.handed_over().await, b"made");
+            assert!(resting.answer().await.expect("an answer").1.ends_with("made"));
+        }
+    });
+}
+
+#[test]
+fn bytes_behind_the_close_of_a_resting_connection_cause_no_reset() {
+    local(async {
+        let mut server = Server::start(8).await;
+        let resting = server.used().await;
+        server.idle.send_modify(|idle| idle.limit = Duration::ZERO);
+        while !has_ended(&resting) {
+            yield_now().await;
+        }
+        assert!(resting.stream.try_write(&whole()).is_ok());
+        yield_now().await;
+        let error = SockRef::from(&resting.stream).take_error().unwrap();
+        assert!(error.is_none(), "{error:?}");
+        assert!(server.work.try_recv().is_err(), "what is read behind the close is not sent on");
+    });
+}
+
+#[test]
+fn who_waits_in_the_backlog_of_a_closing_listener_is_answered_within_the_descriptors() {
+    local(async {
+        // Places, those beyond them while the listener closes, and callers for twice as many.
+        const PLACES: usize = 4;
+        const RESERVE: usize = 16;
+        const CALLERS: usize = 2 * (PLACES + RESERVE);
+        let mut server = Server::start(PLACES).await;
+        let mut taken = Vec::new();
+        for _ in 0..PLACES {
+            let mut peer = server.used().await;
+            peer.send(&whole()[..40]).await;
+            taken.push(peer);
+        }
+        let mut server = server.serve_all();
+        let mut callers = Vec::new();
+        for _ in 0..CALLERS {
+            let mut peer = server.connect().await;
+            peer.send(whole()).await;
+            callers.push(peer);
+        }
+        let (front, most) = (server.front.clone(), Rc::new(Cell::new(0)));
+        let seen = most.clone();
+        spawn_local(async move {
+            loop {
+                seen.set(seen.get().max(front.open.get()));
+                yield_now().await;
+            }
+        });
+        server.stop.take().unwrap().send(()).unwrap();
+        for caller in &mut callers {
+            assert!(caller.answer().await.expect("an answer").1.ends_with("made"));
+        }
+        server.accepts.await.unwrap();
+        assert!(most.get() <= PLACES + RESERVE, "{} open", most.get());
+        for mut peer in taken {
+            peer.send(&whole()[40..]).await;
+            assert!(peer.answer().await.expect("an answer").1.ends_with("made"));
+        }
+        assert!(TcpStream::connect(server.address).await.is_err(), "it still listens");
+    });
+}
+
+#[test]
+fn peers_that_read_nothing_cost_no_other_its_answer() {
+    local(async {
+        const ROOM: usize = 20_000;
+        let (listener, address) = listener().await;
+        // What the system takes in for a peer is not the program's, so it gets little.
+        SockRef::from(&listener).set_send_buffer_size(4096).unwrap();
+        let mut server = Server::on(listener, address, |front| front.unwritten = Budget::new(ROOM));
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(2048).unwrap();
+        let mut flood = Peer::new(socket.connect(address).await.unwrap());
+        let result = vec![b'x'; 4000];
+        // Answers are asked for until no more of them have room.
+        while server.front.unwritten.take(result.len()) {
+            server.front.unwritten.give(result.len());
+            flood.send(whole()).await;
+            served(server.handed_over().await, &result);
+            one_poll().await;
+            yield_now().await;
+        }
+        let mut good = server.connect().await;
+        for _ in 0..3 {
+            good.send(whole()).await;
+            served(server.handed_over().await, &result);
+            let answer = good.answer().await.expect("an answer");
+            assert!(answer.1.ends_with(&String::from_utf8(result.clone()).unwrap()));
+        }
+        until_open(&server.front, 1).await;
+    });
+}
+
+#[test]
+fn a_record_that_never_ends_takes_no_more_than_the_room_for_requests() {
+    local(async {
+        const ROOM: usize = 100_000;
+        const RECORD: usize = 65_000;
+        let server = Server::with(|front| front.held = Budget::new(ROOM)).await.serve_all();
+        let mut long = Vec::new();
+        put_record(&mut long, kind::STDIN, 9, &vec![0; RECORD]);
+        let mut floods = Vec::new();
+        let mut closed = 0;
+        for _ in 0..4 {
+            let mut flood = server.connect().await;
+            flood.send(&long[..RECORD]).await;
+            floods.push(flood);
+        }
+        for flood in &mut floods {
+            // Those that have room are waited for, and end by their time.
+            let end = timeout(Duration::from_millis(500), flood.answer()).await;
+            closed += u32::from(matches!(end, Ok(None)));
+        }
+        assert!((2..4).contains(&closed), "{closed} were let go");
+        let mut good = server.connect().await;
+        good.send(whole()).await;
+        assert!(good.answer().await.expect("an answer").1.ends_with("made"));
+        drop(floods);
+        until_open(&server.front, 1).await;
+        drop(good);
+        until_open(&server.front, 0).await;
+        assert!(server.front.held.take(ROOM), "all room was given back");
+    });
+}
+
+#[test]
+fn a_request_cut_at_any_byte_is_answered_once() {
+    local(async {
+        let server = Server::start(4).await.serve_all();
+        let mut peer = server.connect().await;
+        let bytes = whole();
+        for cut in 1..bytes.len() {
+            peer.send(&bytes[..cut]).await;
+            // The connection has read the first part once nothing of it is on its way.
+            for _ in 0..3 {
+                yield_now().await;
+            }
+            peer.send(&bytes[cut..]).await;
+            let (id, text, status) = peer.answer().await.unwrap_or_else(|| panic!("none at {cut}"));
+            assert!(id == 1 && status == 0 && text.ends_with("made"), "{cut}: {text}");
+        }
+        assert!(peer.is_silent());
+    });
+}
+
+#[test]
+fn pipelined_requests_behind_which_the_peer_stops_sending_are_all_answered() {
+    local(async {
+        let mut server = Server::start(4).await;
+        let mut peer = server.connect().await;
+        // One more than may be open: that one is refused at once.
+        let all: Vec<u8> = (1..=33).flat_map(|n| request(n, u64::from(n), "read", &[], b"body")).collect();
+        peer.send(&all).await;
+        tokio::io::AsyncWriteExt::shutdown(&mut peer.stream).await.unwrap();
+        let mut ways = Vec::new();
+        for _ in 0..32 {
+            ways.push(server.handed_over().await);
+        }
+        assert_eq!(peer.answer().await, Some((33, String::new(), OVERLOADED)));
+        // In any order.
+        for way in ways.into_iter().rev() {
+            served(way, b"made");
+        }
+        let mut ids = Vec::new();
+        while let Some((id, text, _)) = peer.answer().await {
+            assert!(text.ends_with("made"));
+            ids.push(id);
+        }
+        ids.sort_unstable();
+        assert_eq!(ids, Vec::from_iter(1..=32));
+    });
+}
+
+#[test]
+fn who_reads_a_few_bytes_at_a_time_gets_whole_answers_and_holds_up_nobody() {
+    const PIECE: usize = 16;
+    /// As many as may be open at once.
+    const ANSWERS: u16 = 32;
+    local(async {
+        let mut answered = 0;
+        let (listener, address) = listener().await;
+        SockRef::from(&listener).set_send_buffer_size(4096).unwrap();
+        let mut server = Server::on(listener, address, |_| {});
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(32 * 1024).unwrap();
+        let mut slow = Peer::new(socket.connect(address).await.unwrap());
+        slow.stream.set_nodelay(true).unwrap();
+        let result = vec![b'x'; 4000];
+        for n in 1..=ANSWERS {
+            slow.send(request(n, u64::from(n), "read", &[], b"body")).await;
+            served(server.handed_over().await, &result);
+        }
+        let mut quick = server.connect().await;
+        let (mut bytes, mut piece) = (Vec::new(), [0; PIECE]);
+        let result = String::from_utf8(result).unwrap();
+        let whole =
+            |bytes: &[u8]| String::from_utf8_lossy(bytes).matches(&result).count() == usize::from(ANSWERS);
+        while bytes.len() < usize::from(ANSWERS) * result.len() || !whole(&bytes) {
+            tokio::io::AsyncReadExt::read_exact(&mut slow.stream, &mut piece).await.unwrap();
+            bytes.extend(piece);
+            if bytes.len().is_multiple_of(100 * PIECE) {
+                server.serve(&mut quick).await;
+                answered += 1;
+            }
+        }
+        assert!(answered > 8);
+    });
+}
