Count the grace from the notice to leave also where the interpreter comes up after it

The module counts the grace from when it hears of the notice (logic.rs, leave), and it hears only once the interpreter is up (engine/drain.rs, leave). The engine's own count (comes_late) gives late requests the present time, which is still within the module's grace. The module is now told how much of the grace is left. Without it the new test says 'it came after the grace and ran'.

--- a/crates/node/src/engine/drain.rs
+++ b/crates/node/src/engine/drain.rs
@@ -4,7 +4,7 @@
 use crate::directory::Mode;
 use crate::log;
 use crate::upgrade::claims::Claims;
-use jaspershunt::Event;
+use jaspershunt::{Event, Settings};
 use std::time::Duration;
 
 impl Engine {
@@ -35,9 +35,13 @@
 
     /// Tells the module that the nodo leaves, if it does.
     pub(super) fn leave(&mut self) {
-        if let Some(stop_at) = self.stop_at
+        if let (Some(stop_at), Some(grace_until)) = (self.stop_at, self.grace_until)
             && self.module.is_some()
         {
+            // Guards against a grace that the module counts from when it hears of the notice, which may be long after it came:
+            // the interpreter may have come up only now.
+            let drain_grace = (grace_until - self.now).max(0.0);
+            self.events.push(Event::Settings(Box::new(Settings { drain_grace, ..self.share() })));
             self.events.push(Event::Leave { within: (stop_at - self.now).max(0.0) });
         }
     }
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -372,6 +372,28 @@
 
 /// A peer that names a time long past must not make the module believe that requests lie unread for ages, for which it
 /// would run nothing for a long while.
+#[test]
+fn the_grace_counts_from_the_notice_though_the_interpreter_comes_up_after_it() {
+    paused(async {
+        let mut rig = Rig::before_the_interpreter();
+        rig.engine.round([Input::Leave { told: Instant::now() }]);
+        rig.until(1.0).await;
+        let banner = Message::Banner { cold: true, age: 0.0 };
+        rig.engine.round([Input::Heard(banner), Input::LinkUp]);
+        rig.until(1.5).await;
+        let within = rig.work(1, 0, 0.0);
+        rig.engine.round([within]);
+        assert_eq!(rig.commands(), ["apply 1"]);
+        let end = rig.value(1, RunEnd::Done(vec![7]));
+        rig.engine.round([end]);
+        rig.until(2.1).await;
+        let after = rig.work(2, 0, 0.0);
+        rig.engine.round([after]);
+        assert!(rig.commands().is_empty(), "it came after the grace and ran");
+        assert!(matches!(rig.answers()[..], [(1, Answer::Served(_)), (2, Answer::Refused { .. })]));
+    });
+}
+
 #[test]
 fn a_time_of_arrival_that_makes_no_sense_does_no_harm() {
     paused(async {
