Wait longer for the answer of a directory that is slow

Seen: a directory that takes half a second for each answer never had a report that counted. Each attempt was given up after 0.3 s and made anew on another connection, and the protocol counts a report only with its answer.

Ruled out: the reading of answers in pieces, the connection's reuse and the wait between attempts, each by a case of its own in the new tests, which passed before the change. At fault: directory.rs, report, where REPORT_TIMEOUT bounded every attempt. After one without an answer the next attempts now wait 0.7 s, until one is answered within 0.3 s; with the wait before the next attempt that is under the second in which a directory that is back has to be told.

Without it: "no report has counted in the time of an entry".

The directory of the stand-ins can be down, a start can have a limit on descriptors, and an interpreter's link can be dropped.

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -16,6 +16,10 @@
 /// For the answer to one report. One that gets none may have counted all the same, but the next one comes soon, on
 /// another connection.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same after one that got none in that time, until one is answered sooner: a directory may need longer for each,
+/// and a report counts only with its answer. With the wait before the next attempt it stays under a second, in which a
+/// directory that is back has to be told.
+const SLOW_REPORT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Between the attempts at a report that did not count.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -33,6 +37,7 @@
 pub async fn report(mut peers: watch::Receiver<Peers>, name: &str, mut mode: watch::Receiver<Option<Mode>>) {
     let mut stream = None;
     let mut fails = false;
+    let mut patience = REPORT_TIMEOUT;
     let mut address = peers.borrow().directory;
     loop {
         let told = *mode.borrow_and_update();
@@ -40,10 +45,11 @@
         if now_at != address {
             (address, stream) = (now_at, None);
         }
-        let mut next = Instant::now() + REPORT_EVERY;
+        let began = Instant::now();
+        let mut next = began + REPORT_EVERY;
         if let Some(told) = told {
             let sent = tokio::select! {
-                sent = timeout(REPORT_TIMEOUT, put(address, name, told, stream.take())) => sent,
+                sent = timeout(patience, put(address, name, told, stream.take())) => sent,
                 // Guards against callers sent here because an older report still waits for its answer: what is news is reported at
                 // once.
                 changed = mode.changed() => match changed {
@@ -52,6 +58,8 @@
                 },
                 Ok(()) = peers.changed() => continue,
             };
+            let in_time = began.elapsed() < REPORT_TIMEOUT;
+            patience = if in_time { REPORT_TIMEOUT } else { SLOW_REPORT_TIMEOUT };
             let (kept, failed) = match sent {
                 Ok(Ok(kept)) => (kept, None),
                 Ok(Err(e)) => (None, Some(e)),
--- /dev/null
+++ b/crates/node/tests/crossing_directory.rs
@@ -0,0 +1,280 @@
+//! Events at the directory that cross others: answers that come late, in pieces or not at all, outages while a nodo leaves
+//! or returns, and clients that take all connections meanwhile. See `docs/design/narrow-moments.md`.
+
+mod common;
+#[path = "common/moments.rs"]
+mod moments;
+
+use common::{Peer, all_at, listener, paused, request};
+use jaspershunt_node::config::Peers;
+use jaspershunt_node::directory::{Mode, report};
+use jaspershunt_stand_ins::balancer::Request;
+use jaspershunt_stand_ins::dependency::{Dependency, Plan};
+use jaspershunt_stand_ins::starts::{Nodo, Start, keyed};
+use jaspershunt_stand_ins::wire::Wire;
+use moments::{GENEROUS, Stalls};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+const MS: Duration = Duration::from_millis(1);
+/// Within this a directory that is back has to be told.
+const RESUMES: Duration = Duration::from_secs(1);
+const COUNTED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
+/// Reports to the address, beginning with `open`.
+fn reports_to(address: SocketAddr) -> (watch::Sender<Option<Mode>>, watch::Sender<Peers>) {
+    let (mode, seen) = watch::channel(Some(Mode::Open));
+    let (moves, peers) = watch::channel(all_at(address));
+    spawn_local(async move { report(peers, "n3", seen).await });
+    (mode, moves)
+}
+
+/// The next report, on whichever connection it comes, and that connection.
+async fn next_report(listener: &TcpListener) -> (Peer, String) {
+    let mut directory = Peer::accept(listener).await;
+    let text = directory.http().await;
+    (directory, text)
+}
+
+/// Whatever became of the answer to one report, the next one comes within a second, on another connection.
+#[test]
+fn a_directory_that_answers_badly_is_told_again_within_a_second() {
+    paused(async {
+        let (listener, address) = listener().await;
+        let (_mode, _moves) = reports_to(address);
+        for answer in
+            ["", "HTTP/1.1 2", "HTTP/1.1 204 No Content\r\n", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"]
+        {
+            for closes in [true, false] {
+                let (mut directory, _) = next_report(&listener).await;
+                let began = Instant::now();
+                directory.send(answer).await;
+                let silent = if closes {
+                    drop(directory);
+                    None
+                } else {
+                    Some(directory)
+                };
+                let (mut directory, text) = next_report(&listener).await;
+                assert!(text.ends_with(r#"{"mode":"open"}"#));
+                assert!(
+                    began.elapsed() < RESUMES,
+                    "after {answer:?}, closed {closes}: {:?}",
+                    began.elapsed()
+                );
+                drop(silent);
+                // One that counts, in pieces, and the connection is closed behind it.
+                for piece in COUNTED.as_bytes().chunks(5) {
+                    directory.send(piece).await;
+                    sleep(10 * MS).await;
+                }
+                assert_eq!(directory.http().await.lines().next(), text.lines().next(), "it was not taken");
+            }
+        }
+    });
+}
+
+/// A report counts only with its answer. A directory that always needs longer than the first attempt waits has to be
+/// waited for, or no report would ever count.
+#[test]
+fn a_directory_that_takes_half_a_second_for_each_answer_hears_reports_that_count() {
+    paused(async {
+        let (listener, address) = listener().await;
+        let (_mode, _moves) = reports_to(address);
+        let began = Instant::now();
+        loop {
+            let (mut directory, _) = next_report(&listener).await;
+            sleep(500 * MS).await;
+            // An error means that the answer was not waited for.
+            if directory.is_silent() && directory.stream.try_write(COUNTED.as_bytes()).is_ok() {
+                let next = tokio::time::timeout(RESUMES, directory.until(b"\r\n\r\n")).await;
+                if matches!(next, Ok(Some(_))) {
+                    break;
+                }
+            }
+            assert!(
+                began.elapsed() < Duration::from_secs(3),
+                "no report has counted in the time of an entry"
+            );
+        }
+    });
+}
+
+/// Listens at an address that is free and kept by its holder.
+fn listens_at(holder: &TcpSocket) -> TcpListener {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseport(true).unwrap();
+    socket.bind(holder.local_addr().unwrap()).unwrap();
+    socket.listen(64).unwrap()
+}
+
+/// The news comes while nobody listens, or while a directory takes connections and answers none.
+#[test]
+fn news_reaches_a_directory_that_comes_back_within_a_second() {
+    paused(async {
+        let holder = TcpSocket::new_v4().unwrap();
+        holder.set_reuseport(true).unwrap();
+        holder.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let (mode, _moves) = reports_to(holder.local_addr().unwrap());
+        let mut news = Mode::Open;
+        // The outage lasts for so long after the news.
+        for ms in [0u32, 100, 400, 700, 1000, 1300, 1600, 1900] {
+            news = if news == Mode::Open { Mode::Closed } else { Mode::Open };
+            let text = if news == Mode::Open { "open" } else { "closed" };
+            // It refuses connections.
+            sleep(2000 * MS).await;
+            mode.send_replace(Some(news));
+            sleep(MS * ms).await;
+            let back = Instant::now();
+            let listener = listens_at(&holder);
+            let (directory, heard) = next_report(&listener).await;
+            assert!(heard.contains(text) && back.elapsed() < RESUMES, "{heard} after {:?}", back.elapsed());
+            // From now on it takes them and is silent, and then it goes down.
+            sleep(2000 * MS).await;
+            drop(directory);
+        }
+    });
+}
+
+/// A process that may open so many descriptors, and clients that take all connections which it gives them.
+struct Crowded {
+    nodo: Nodo,
+    start: Start,
+    clients: Vec<TcpStream>,
+    descriptors: usize,
+    most: Rc<Cell<usize>>,
+    stalls: Stalls,
+    number: u64,
+}
+
+impl Crowded {
+    async fn start(descriptors: usize, database: SocketAddr) -> Crowded {
+        let limits = format!(r#","limits":{{"cores":1.0,"memory_mb":192,"sockets":{descriptors}}}"#);
+        let mut nodo = moments::nodo(&format!("crowded-{descriptors}"), 2500, &limits).await;
+        nodo.descriptors = Some(descriptors);
+        nodo.database = Some(database);
+        let start = nodo.start().await.unwrap();
+        let most = Rc::new(Cell::new(0));
+        let (seen, open) = (most.clone(), format!("/proc/{}/fd", start.process.id()));
+        spawn_local(async move {
+            while let Ok(all) = std::fs::read_dir(&open) {
+                seen.set(all.count().max(seen.get()));
+                sleep(5 * MS).await;
+            }
+        });
+        let stalls = Stalls::watch(start.admin);
+        Crowded { nodo, start, clients: Vec::new(), descriptors, most, stalls, number: 0 }
+    }
+
+    /// Has clients connect and bring nothing, more than there are descriptors.
+    async fn fill(&mut self) {
+        self.clients.clear();
+        for _ in 0..self.descriptors + 8 {
+            self.clients.push(TcpStream::connect(self.nodo.address).await.unwrap());
+        }
+    }
+
+    async fn within<T>(&self, what: &str, done: impl Future<Output = T>) -> T {
+        timeout(GENEROUS, done).await.unwrap_or_else(|_| panic!("{what}: {}", self.nodo.logs()))
+    }
+
+    /// A health check on a connection of its own.
+    async fn is_healthy(&self) -> bool {
+        let mut check = Peer::new(TcpStream::connect(self.nodo.address).await.unwrap());
+        check.send(request(1, 1, "read", &[("SCRIPT_NAME", "/healthz")], b"")).await;
+        self.within("a health check", check.answer()).await.expect("an answer").1.starts_with("Status: 200 ")
+    }
+
+    /// The status of a request on a connection of its own.
+    async fn status(&mut self, request: &Request) -> u16 {
+        self.number += 1;
+        let mut wire = Wire::connect(self.nodo.address, self.number).await.unwrap();
+        wire.send(request).unwrap();
+        self.within("a request", wire.answer()).await.expect("an answer").1.status
+    }
+
+    /// The directory is back; whether the next report says this, and soon.
+    async fn hears_again(&self, mode: &str) {
+        let before = self.nodo.directory.modes().len();
+        let back = Instant::now();
+        self.nodo.directory.down(false);
+        self.within("a report", async {
+            while self.nodo.directory.modes().len() == before {
+                sleep(MS).await;
+            }
+        })
+        .await;
+        let took = back.elapsed();
+        assert_eq!(self.nodo.directory.mode().as_deref(), Some(mode), "{}", self.nodo.logs());
+        assert!(took < RESUMES || !self.stalls.none(), "it was told after {took:?}");
+    }
+
+    /// What has to go on while clients hold all connections.
+    async fn goes_on(&mut self) {
+        self.fill().await;
+        assert!(self.is_healthy().await);
+        self.fill().await;
+        assert!(self.start.serves().await, "operators are not answered: {}", self.nodo.logs());
+        assert!(self.start.call("INFO").await.contains('{'), "operators get no figures");
+        self.fill().await;
+        let key = format!("crowded-{}", self.number);
+        assert_eq!(self.status(&keyed("sign", &key, false)).await, 200, "{}", self.nodo.logs());
+        assert_eq!(self.nodo.signed(&key), 1);
+        self.fill().await;
+        let interpreter = self.nodo.interpreters[0].clone();
+        let links = interpreter.links();
+        interpreter.drop_link();
+        // One for the break, one for the new link.
+        self.within("a new link", async {
+            while interpreter.links() < links + 2 {
+                sleep(MS).await;
+            }
+        })
+        .await;
+        assert_eq!(self.status(&Request::new("read", b"linked")).await, 200, "{}", self.nodo.logs());
+    }
+}
+
+/// Idle clients take every connection that they are given, and the directory is gone as health is withdrawn, as it is
+/// good again, and as the nodo leaves: what the nodo itself needs a connection for goes on all the same.
+async fn crowded(descriptors: usize) {
+    let database = Dependency::start(Plan::new("db", 8, 5 * MS)).await;
+    let mut crowded = Crowded::start(descriptors, database.address()).await;
+    crowded.goes_on().await;
+    let directory = crowded.nodo.directory.clone();
+    for (call, mode) in [("LAMEDUCK", "closed"), ("REJOIN", "open")] {
+        directory.down(true);
+        crowded.fill().await;
+        assert!(crowded.start.call(call).await.starts_with("+OK"));
+        assert_eq!(crowded.is_healthy().await, mode == "open");
+        crowded.hears_again(mode).await;
+    }
+    directory.down(true);
+    crowded.goes_on().await;
+    crowded.fill().await;
+    crowded.start.process.terminate();
+    // It drains as soon as its health check is bad.
+    crowded.within("it drains", async { while crowded.is_healthy().await {} }).await;
+    crowded.hears_again("closed").await;
+    let ended = timeout(GENEROUS, crowded.start.process.ends()).await;
+    assert!(ended.is_ok_and(|well| well), "it ends with a fault: {}", crowded.nodo.logs());
+    let most = crowded.most.get();
+    assert!(most <= descriptors, "{most} descriptors");
+    assert!(!crowded.nodo.logs().contains("cannot accept"), "{}", crowded.nodo.logs());
+}
+
+#[test]
+fn idle_clients_leave_room_at_a_limit_of_128_descriptors() {
+    moments::local(crowded(128));
+}
+
+#[test]
+fn idle_clients_leave_room_at_a_limit_of_384_descriptors() {
+    moments::local(crowded(384));
+}
--- a/crates/stand-ins/src/interpreter.rs
+++ b/crates/stand-ins/src/interpreter.rs
@@ -122,6 +122,17 @@
         self.state.news.notify_waiters();
     }
 
+    /// Closes the present link; runs go on.
+    pub fn drop_link(&self) {
+        *self.state.link.borrow_mut() += 1;
+        self.state.news.notify_waiters();
+    }
+
+    /// Links that were taken so far, and breaks of them.
+    pub fn links(&self) -> u64 {
+        *self.state.link.borrow()
+    }
+
     /// The same, where runs that are told to stop do this.
     ///
     /// # Panics
--- a/crates/stand-ins/src/starts.rs
+++ b/crates/stand-ins/src/starts.rs
@@ -59,6 +59,8 @@
     pub operator: Option<String>,
     /// Further classes of its interpreters, of which each run calls once; the settings have to name them.
     pub also: Vec<String>,
+    /// The limit on open descriptors that starts to come get from the system, if not that of the test.
+    pub descriptors: Option<usize>,
     /// The interpreters, in the order of the starts that have one.
     pub interpreters: Vec<Interpreter>,
     /// Where operators reach the last start.
@@ -106,6 +108,7 @@
             database: None,
             operator,
             also: Vec::new(),
+            descriptors: None,
             interpreters,
             at: Rc::default(),
             latest: Latest::default(),
@@ -159,7 +162,7 @@
             self.more
         );
         std::fs::write(&config, text)?;
-        let mut command = Command::new(&self.program);
+        let mut command = self.command();
         command.env("NODE_CONFIG", &config).env("TMPDIR", &self.folder);
         command.env_remove("NODE_LISTEN").env_remove("NODE_ADMIN");
         if self.alone {
@@ -177,6 +180,14 @@
         Ok(Start { process, admin })
     }
 
+    /// The program, by way of a shell that lowers the limit on descriptors and becomes the program, where there is one.
+    fn command(&self) -> Command {
+        let Some(most) = self.descriptors else { return Command::new(&self.program) };
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!(r#"ulimit -n {most} && exec "$0" "$@""#)]).arg(&self.program);
+        command
+    }
+
     fn log(&self, start: usize) -> PathBuf {
         self.folder.join(format!("log{start}"))
     }
