--- /dev/null
+++ b/crates/node/tests/crossing_peers.rs
@@ -0,0 +1,285 @@
+//! Events at the database and the interpreter that cross others: replies that come late or break off, links that break,
+//! and notices that come twice. See `docs/design/narrow-moments.md`.
+
+mod common;
+
+use common::*;
+use jaspershunt_node::fastcgi::records::kind;
+use std::time::Duration;
+use tokio::time::sleep;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// What crossed a nodo while one request was open there.
+#[derive(Debug, Default)]
+struct Crossed {
+    resolved: usize,
+    stubbed: usize,
+    called_again: usize,
+    statuses: Vec<String>,
+}
+
+/// Plays the interpreter and the database for a run that waits at notice 1, until its request is answered: a call is
+/// answered well, a run that goes on ends well, and one that is to stop does.
+async fn play(nodo: &mut Nodo, balancer: &mut Peer, uid: &str) -> Crossed {
+    let mut crossed = Crossed::default();
+    let mut text = Vec::new();
+    let mut calls = Vec::new();
+    loop {
+        tokio::select! {
+            command = nodo.link.command() => {
+                crossed.resolved += usize::from(command.contains("RESOLVE"));
+                crossed.stubbed += usize::from(command.contains("STUB"));
+                let code = if command.contains("BREAK") { "STOPPED" } else { "OK" };
+                nodo.link.send(value(2, uid, code, "ZG9uZQ==")).await;
+            }
+            accepted = nodo.database.accept() => {
+                crossed.called_again += 1;
+                let mut call = Peer::new(accepted.unwrap().0);
+                call.http().await;
+                call.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore").await;
+                calls.push(call);
+            }
+            record = balancer.record() => match record.expect("an answer") {
+                (kind::STDOUT, _, content) => text.extend(content),
+                _ => {
+                    crossed.statuses.push(String::from_utf8(text).unwrap().lines().next().unwrap().to_string());
+                    break;
+                }
+            }
+        }
+    }
+    // A call that was made by then waits to be accepted, and an answer that was given to be read.
+    sleep(20 * MS).await;
+    tokio::select! {
+        biased;
+        _ = nodo.database.accept() => crossed.called_again += 1,
+        // The connection may end, where the nodo leaves.
+        record = balancer.record() => assert!(record.is_none(), "a second answer: {record:?}"),
+        () = sleep(MS) => {}
+    }
+    crossed
+}
+
+/// Has a request of the class run until it waits for its call, and reads that.
+async fn at_call(nodo: &mut Nodo, balancer: &mut Peer, class: &str) -> (String, Peer) {
+    let key = [("HTTP_X_OPERATION_KEY", "one-key")];
+    let more = if class == "sign" { &key[..] } else { &[] };
+    balancer.send(request(1, 1, class, more, b"body")).await;
+    let uid = nodo.applied().await;
+    let wait = format!(r#"{{"action":"AWAIT","pos":1,"uid":"{uid}","content":"cXVlcnk="}}"#);
+    nodo.link.send(wait + "\n").await;
+    let mut call = Peer::accept(&nodo.database).await;
+    call.http().await;
+    (uid, call)
+}
+
+/// The reply breaks off before, within and behind its head. What was called for may have run: a keyed class does not
+/// call again, and a run hears at most once what became of its call.
+#[test]
+fn a_reply_that_breaks_off_is_never_asked_for_again_where_it_may_not_be_repeated() {
+    local(async {
+        for reply in ["", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nro"] {
+            for class in ["sign", "read"] {
+                let mut nodo = Nodo::start().await;
+                let mut balancer = nodo.connect().await;
+                let (uid, mut call) = at_call(&mut nodo, &mut balancer, class).await;
+                call.send(reply).await;
+                drop(call);
+                let crossed = play(&mut nodo, &mut balancer, &uid).await;
+                let seen = format!("{class} after {reply:?}: {crossed:?}");
+                assert!(class == "read" || crossed.called_again == 0, "called again: {seen}");
+                assert!(crossed.resolved + crossed.stubbed <= 1, "told twice: {seen}");
+                assert_eq!(crossed.statuses.len(), 1, "{seen}");
+            }
+        }
+    });
+}
+
+/// The link breaks while a call is out, and the reply comes before the next link has caught up.
+#[test]
+fn a_reply_that_comes_while_the_link_is_down_reaches_the_run_once() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        let (uid, mut call) = at_call(&mut nodo, &mut balancer, "sign").await;
+        nodo.link = Peer::accept_after_break(nodo.link, &nodo.interpreter).await;
+        call.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nrows").await;
+        // The connection's end shows that the reply was read, and a health check that the engine has it.
+        assert_eq!(call.line().await, None);
+        balancer.send(request(9, 9, "read", &[("SCRIPT_NAME", "/healthz")], b"")).await;
+        assert_eq!(balancer.answer().await.unwrap().0, 9);
+        catch_up(&mut nodo.link, 1, "").await;
+        let crossed = play(&mut nodo, &mut balancer, &uid).await;
+        assert_eq!((crossed.resolved, crossed.stubbed, crossed.called_again), (1, 0, 0), "{crossed:?}");
+        assert!(crossed.statuses[0].contains("200"), "{crossed:?}");
+    });
+}
+
+/// The nodo is told to leave while a call is out: the run still gets the reply, and its request the result, whether the
+/// reply crosses the notice or comes well behind it.
+#[test]
+fn a_reply_that_crosses_the_notice_to_leave_reaches_the_run() {
+    local(async {
+        for behind in [false, true] {
+            let mut nodo = Nodo::start().await;
+            let mut balancer = nodo.connect().await;
+            let (uid, mut call) = at_call(&mut nodo, &mut balancer, "sign").await;
+            nodo.leave.take().unwrap().send(()).unwrap();
+            if behind {
+                assert!(nodo.report().await.ends_with(r#"{"mode":"closed"}"#));
+                // The grace of these settings is over by then.
+                sleep(500 * MS).await;
+            }
+            assert!(!nodo.done.is_finished(), "it ended over a run that waits for a reply");
+            call.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrows").await;
+            let crossed = play(&mut nodo, &mut balancer, &uid).await;
+            assert_eq!((crossed.resolved, crossed.stubbed), (1, 0), "behind {behind}: {crossed:?}");
+            assert!(crossed.statuses[0].contains("200"), "behind {behind}: {crossed:?}");
+            nodo.done.await.unwrap();
+        }
+    });
+}
+
+/// The run ends while its call is out: the call is given up, and the reply that crosses that is told to nobody.
+#[test]
+fn a_reply_that_crosses_the_end_of_its_run_is_told_to_nobody() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        let (uid, mut call) = at_call(&mut nodo, &mut balancer, "sign").await;
+        nodo.link.send(value(2, &uid, "ERROR", "")).await;
+        call.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrows").await;
+        let crossed = play(&mut nodo, &mut balancer, &uid).await;
+        assert!(crossed.statuses[0].contains("500"), "{crossed:?}");
+        // A run of its own shows what was sent to the interpreter before it.
+        balancer.send(request(2, 2, "read", &[], b"")).await;
+        assert!(nodo.command().await.contains("APPLY"), "the run that was over was told of a reply");
+    });
+}
+
+/// A notice that comes twice counts once, also if it names another run the second time.
+#[test]
+fn a_notice_that_comes_twice_counts_once() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        balancer.send([request(1, 1, "read", &[], b""), request(2, 2, "read", &[], b"")].concat()).await;
+        let (first, second) = (nodo.applied().await, nodo.applied().await);
+        let twice =
+            [value(1, &first, "OK", "b25l"), value(1, &first, "OK", "dHdv"), value(1, &second, "OK", "dHdv")];
+        nodo.link.send(twice.concat()).await;
+        nodo.link.send(value(2, &second, "OK", "dHJ1ZQ==")).await;
+        let (id, answer, _) = balancer.answer().await.unwrap();
+        assert!(id == 1 && answer.ends_with("\r\n\r\none"), "{answer}");
+        let (id, answer, _) = balancer.answer().await.unwrap();
+        assert!(
+            id == 2 && answer.ends_with("\r\n\r\ntrue"),
+            "a notice that was read counted again: {answer}"
+        );
+    });
+}
+
+/// The end of a run comes as its caller gives it up, in either order on the two connections.
+#[test]
+fn the_end_of_a_run_whose_caller_leaves_harms_nobody() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let mut balancer = nodo.connect().await;
+        for n in 0..20u16 {
+            balancer.send(request(1, u64::from(n) + 1, "read", &[], b"")).await;
+            let uid = nodo.applied().await;
+            let abort = [1, 2, 0, 1, 0, 0, 0, 0];
+            let pos = u64::from(n) + 1;
+            if n % 2 == 0 {
+                balancer.send(abort).await;
+                nodo.link.send(value(pos, &uid, "OK", "eWVz")).await;
+            } else {
+                nodo.link.send(value(pos, &uid, "OK", "eWVz")).await;
+                balancer.send(abort).await;
+            }
+            // One answer at most: a second one would come before that of the health check.
+            balancer.send(request(2, 1000, "read", &[("SCRIPT_NAME", "/healthz")], b"")).await;
+            let mut ids = Vec::new();
+            while ids.last() != Some(&2) {
+                ids.push(balancer.answer().await.expect("the connection lives").0);
+            }
+            assert!(ids.len() <= 2, "{ids:?}");
+        }
+    });
+}
+
+/// A further try is written in the moment in which the end of the first one's run is told: one answer each, and no
+/// second run of a key.
+#[test]
+fn a_further_try_crosses_the_end_of_the_first() {
+    local(async {
+        let mut nodo = Nodo::start().await;
+        let (mut first, mut second) = (nodo.connect().await, nodo.connect().await);
+        let mut pos = 0;
+        for n in 0..40u64 {
+            let (class, key) = (["sign", "read"][n as usize % 2], format!("key-{n}"));
+            let keyed = [("HTTP_X_OPERATION_KEY", key.as_str())];
+            let more = if class == "sign" { &keyed[..] } else { &[] };
+            let again: Vec<_> = more.iter().copied().chain([("HTTP_X_RESENT", "1")]).collect();
+            first.send(request(1, 2 * n + 1, class, more, b"body")).await;
+            let uid = nodo.applied().await;
+            let retry = request(1, 2 * n + 2, class, &again, b"body");
+            pos += 1;
+            let end = value(pos, &uid, "OK", "eWVz");
+            // Either is written first in turn; the other follows at once.
+            if n % 4 < 2 {
+                second.send(&retry).await;
+                nodo.link.send(end).await;
+            } else {
+                nodo.link.send(end).await;
+                second.send(&retry).await;
+            }
+            let (_, answer, _) = first.answer().await.unwrap();
+            assert!(answer.ends_with("\r\n\r\nyes"), "{class}: {answer}");
+            if class == "read" {
+                let uid = nodo.applied().await;
+                pos += 1;
+                nodo.link.send(value(pos, &uid, "OK", "eWVz")).await;
+            }
+            let (_, answer, _) = second.answer().await.unwrap();
+            assert!(answer.ends_with("\r\n\r\nyes"), "{class}: {answer}");
+        }
+        // A class of its own shows that nothing else was told to the interpreter.
+        first.send(request(1, 999, "read", &[], b"last")).await;
+        assert!(nodo.command().await.contains("bGFzdA=="), "a key ran twice");
+    });
+}
+
+/// The notice to leave comes before the interpreter is up, and the interpreter just behind it or never: nothing is
+/// reported as open and nothing runs, and the nodo ends.
+#[test]
+fn a_nodo_that_is_told_to_leave_before_its_interpreter_is_up_takes_nothing() {
+    local(async {
+        for comes_up in [true, false] {
+            let (mut nodo, lookup) = Nodo::start_early().await;
+            let mut balancer = nodo.connect().await;
+            nodo.leave.take().unwrap().send(()).unwrap();
+            // A health check shows that the engine has the notice.
+            let check = request(1, 1, "read", &[("SCRIPT_NAME", "/healthz")], b"");
+            balancer.send([check, request(2, 2, "read", &[], b"")].concat()).await;
+            if comes_up {
+                catch_up(&mut nodo.link, 0, "").await;
+                let mut directory = Peer::accept(&lookup).await;
+                let report = directory.http().await;
+                assert!(report.ends_with(r#"{"mode":"closed"}"#), "{report}");
+                directory.send("HTTP/1.1 204 No Content\r\n\r\n").await;
+            }
+            for id in [1, 2] {
+                let (answered, answer, _) = balancer.answer().await.unwrap();
+                assert!(answered == id && answer.starts_with("Status: 503"), "{answer}");
+            }
+            nodo.done.await.unwrap();
+            tokio::select! {
+                biased;
+                Some(command) = nodo.link.line() => assert!(!command.contains("APPLY"), "{command}"),
+                () = sleep(MS) => {}
+            }
+        }
+    });
+}
