Bound cold processes that start together, by what the fakes have on record

2, 5, 20 and 30 processes with interpreters that come up cold at the same moment, under more load than they may take from before then on. Judged are, at each 20 ms, the runs of each process on its cores in the mean over fallS, the sum over all processes, and the calls in hand at the shared database in the mean over callsOverS. The interpreters' gauge of runs reads 0.1 throughout, so that nothing but the settings' figures keeps a process from taking ever more. Half of the processes have a class that calls and half one that does not, as what waits for calls counts with the crowd.

The sum on the cores cannot be over its bound while that of each process holds.

--- /dev/null
+++ b/crates/node/tests/cold_start.rs
@@ -0,0 +1,186 @@
+//! Processes that start at once, all of them cold, under more load than they may take. Judged by what the interpreters and
+//! the database have on record.
+
+#[path = "common/moments.rs"]
+mod moments;
+
+use jaspershunt_stand_ins::balancer::{Balancer, Request};
+use jaspershunt_stand_ins::dependency::{Dependency, Plan};
+use jaspershunt_stand_ins::interpreter::{Interpreter, Work};
+use jaspershunt_stand_ins::starts::{Nodo, Start};
+use moments::{GENEROUS, PROGRAM, local};
+use std::cell::Cell;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// Two tests that load the machine at once would say little of either.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+const MS: Duration = Duration::from_millis(1);
+/// What the settings below say, for each process.
+const CORES: f64 = 2.0;
+const COLD_FROM: f64 = 0.3;
+const COLD_FOR: Duration = Duration::from_secs(9);
+const FALL_MULTIPLE: f64 = 10.0;
+const FALL: Duration = Duration::from_secs(1);
+const FAIR_CALLS: f64 = 1.0;
+const CALLS_OVER: Duration = Duration::from_secs(1);
+/// The gauge of runs on the cores is the third one of the interpreter, which always reads 0.1: nothing but what the
+/// settings allow keeps a process from taking ever more.
+const SETTINGS: &str = concat!(
+    r#"{"classes":[{"name":"read","worth":1,"targetS":1,"deadlineS":2,"semantics":"free"},"#,
+    r#"{"name":"look","worth":10,"targetS":1,"deadlineS":2,"semantics":"free"}],"#,
+    r#""domain":{"nCores":2,"heapKb":1000000,"runFactor":4,"halt":"drop","say":"tokens","#,
+    r#""meters":["core_use","unknown","on_cores"],"classCalls":[false,true],"dependsOn":"common","fairCalls":1,"#,
+    r#""callsOverS":1,"lingerS":0.2,"readiness":true,"justStarted":true},"#,
+    r#""allowed":{"retryAfter":true,"maxRetryAfterS":1},"clientHabits":{"marksRetry":true},"#,
+    r#""obligations":{"coldFrom":0.3,"coldS":9,"fallMultiple":10,"fallS":1,"drainGraceS":0}}"#
+);
+/// How long the load goes on once the interpreters are up.
+const LOAD: Duration = Duration::from_millis(2200);
+/// Requests that a process has at any time; more than it may take.
+const OPEN: usize = 40;
+/// Who was refused tries again after this.
+const AGAIN: Duration = Duration::from_millis(400);
+
+/// Where something stood from each moment on.
+type Levels = Vec<(Instant, usize)>;
+
+/// The mean over a window that ends at this moment.
+fn mean(levels: &Levels, end: Instant, window: Duration) -> f64 {
+    let from = end - window;
+    let until = levels.iter().skip(1).map(|(at, _)| *at).chain([end]);
+    let area: f64 = levels
+        .iter()
+        .zip(until)
+        .map(|((at, level), until)| {
+            until.min(end).saturating_duration_since((*at).max(from)).as_secs_f64() * *level as f64
+        })
+        .sum();
+    area / window.as_secs_f64()
+}
+
+/// What a budget of so many may be exceeded by.
+fn slack(budget: f64) -> f64 {
+    if budget < 30.0 { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 }
+}
+
+/// Runs that a process may have on its cores in the mean, so long after its interpreter came up.
+fn crowd(age: Duration) -> f64 {
+    let share = COLD_FROM + (1.0 - COLD_FROM) * (age.as_secs_f64() / COLD_FOR.as_secs_f64()).min(1.0);
+    CORES * (1.0 + (FALL_MULTIPLE - 1.0) * share)
+}
+
+/// A process, its interpreter, and the clients that keep it under load.
+struct Cold {
+    nodo: Nodo,
+    start: Start,
+    interpreter: Interpreter,
+    clients: Vec<JoinHandle<()>>,
+}
+
+/// Sends requests, each as the one before is answered.
+async fn client(balancer: Balancer, class: &'static str, go: Rc<Cell<bool>>, served: Rc<Cell<usize>>) {
+    while go.get() {
+        match balancer.send(&Request::new(class, b"cold"), GENEROUS).await.status {
+            200 => served.set(served.get() + 1),
+            _ => sleep(AGAIN).await,
+        }
+    }
+}
+
+async fn cold(
+    n: usize,
+    of: usize,
+    database: &Dependency,
+    go: &Rc<Cell<bool>>,
+    served: &Rc<Cell<usize>>,
+) -> Cold {
+    let mut nodo = Nodo::new(Path::new(PROGRAM), &format!("cold-{of}-{n}")).await.unwrap();
+    nodo.settings = SETTINGS.to_string();
+    nodo.database = Some(database.address());
+    let (read, look) = (Work { part: 100 * MS, calls: 0 }, Work { part: 5 * MS, calls: 1 });
+    let interpreter = Interpreter::start_cold(CORES as usize, &[("read", read), ("look", look)]).await;
+    let start = nodo.begin(interpreter.address()).await.unwrap();
+    let mut clients = Vec::new();
+    let balancer = Balancer::new(nodo.address, n as u64, Some(interpreter.clone()));
+    // What waits for calls counts with the crowd, and so each process has one of the classes.
+    let class = if n % 2 == 0 { "read" } else { "look" };
+    for _ in 0..OPEN {
+        clients.push(spawn_local(client(balancer.clone(), class, go.clone(), served.clone())));
+    }
+    Cold { nodo, start, interpreter, clients }
+}
+
+/// So many processes whose interpreters come up at the same moment, under load from before then on.
+async fn together(count: usize) {
+    let database = Dependency::start(Plan::new("db", 1000, 100 * MS)).await;
+    let (go, served) = (Rc::new(Cell::new(true)), Rc::new(Cell::new(0)));
+    let mut all = Vec::new();
+    for n in 0..count {
+        all.push(cold(n, count, &database, &go, &served).await);
+    }
+    let up = Instant::now();
+    for one in &all {
+        one.interpreter.come_up();
+    }
+    sleep(LOAD).await;
+    let end = Instant::now();
+    go.set(false);
+    let cores: Vec<Levels> = all.iter().map(|one| one.interpreter.levels()).collect();
+    let calls = database.levels();
+    let moments: Vec<Instant> = (0..).map(|n| up + 20 * MS * n).take_while(|moment| *moment <= end).collect();
+    let (mut most_on_cores, mut most_calls) = (0.0_f64, 0.0_f64);
+    for moment in &moments {
+        let mut sum = 0.0;
+        let allowed = crowd(*moment - up);
+        for (levels, one) in cores.iter().zip(&all) {
+            let on_cores = mean(levels, *moment, FALL);
+            assert!(on_cores <= allowed, "{on_cores:.2} of {allowed:.2} on the cores: {}", one.nodo.logs());
+            sum += on_cores;
+        }
+        let budget = allowed * count as f64;
+        assert!(sum <= budget + slack(budget), "{sum:.2} of {budget:.2} on the cores of {count}");
+        let in_hand = mean(&calls, *moment, CALLS_OVER);
+        let budget = FAIR_CALLS * count as f64;
+        assert!(in_hand <= budget + slack(budget), "{in_hand:.2} calls of {budget:.2} in hand for {count}");
+        (most_on_cores, most_calls) = (most_on_cores.max(sum), most_calls.max(in_hand));
+    }
+    println!("{count}: {most_on_cores:.2} on the cores, {most_calls:.2} calls, {} served", served.get());
+    assert!(served.get() >= count, "too little was served to say anything: {}", served.get());
+    for one in &mut all {
+        one.start.process.kill().await;
+        for client in one.clients.drain(..) {
+            client.abort();
+        }
+    }
+}
+
+fn start_together(count: usize) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    local(together(count));
+}
+
+#[test]
+fn two_and_five_cold_processes_keep_to_what_the_settings_allow() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    local(async {
+        for deployment in [2, 5].map(|count| spawn_local(together(count))) {
+            deployment.await.unwrap();
+        }
+    });
+}
+
+#[test]
+fn twenty_cold_processes_keep_to_what_the_settings_allow() {
+    start_together(20);
+}
+
+#[test]
+fn thirty_cold_processes_keep_to_what_the_settings_allow() {
+    start_together(30);
+}
--- a/crates/stand-ins/src/dependency.rs
+++ b/crates/stand-ins/src/dependency.rs
@@ -128,6 +128,13 @@
     connections: Cell<usize>,
     random: RefCell<StdRng>,
     record: RefCell<Record>,
+    levels: RefCell<Vec<(Instant, usize)>>,
+}
+
+impl State {
+    fn note_level(&self) {
+        self.levels.borrow_mut().push((Instant::now(), self.in_hand.get()));
+    }
 }
 
 /// A dependency that listens.
@@ -140,6 +147,7 @@
 impl Drop for InHand {
     fn drop(&mut self) {
         self.0.in_hand.set(self.0.in_hand.get() - 1);
+        self.0.note_level();
     }
 }
 
@@ -169,6 +177,7 @@
             connections: Cell::new(0),
             random: RefCell::new(StdRng::seed_from_u64(plan.seed)),
             record: RefCell::default(),
+            levels: RefCell::default(),
             plan,
         });
         let listener = socket_at(address).and_then(|socket| socket.listen(BACKLOG)).expect("a listener");
@@ -212,6 +221,11 @@
         self.0.in_hand.get()
     }
 
+    /// Calls in hand, those given up included that go on, from each moment on at which that changed.
+    pub fn levels(&self) -> Vec<(Instant, usize)> {
+        self.0.levels.borrow().clone()
+    }
+
     /// Connections open.
     pub fn connections(&self) -> usize {
         self.0.connections.get()
@@ -368,6 +382,7 @@
 
 fn note(state: &Rc<State>, request: &Request) -> (usize, InHand) {
     state.in_hand.set(state.in_hand.get() + 1);
+    state.note_level();
     let held = InHand(state.clone());
     let mut record = state.record.borrow_mut();
     let in_hand = state.in_hand.get();
--- a/crates/stand-ins/src/interpreter.rs
+++ b/crates/stand-ins/src/interpreter.rs
@@ -90,6 +90,8 @@
     up: RefCell<Option<Instant>>,
     cold: bool,
     most_on_cores: RefCell<usize>,
+    /// How many have a core or wait for one, from each moment on at which that changed.
+    levels: RefCell<Vec<(Instant, usize)>>,
 }
 
 /// An interpreter that listens.
@@ -158,6 +160,7 @@
             up: RefCell::new((!cold).then(Instant::now)),
             cold,
             most_on_cores: RefCell::new(0),
+            levels: RefCell::default(),
         });
         let all = state.clone();
         spawn_local(async move {
@@ -192,6 +195,11 @@
         *self.state.most_on_cores.borrow()
     }
 
+    /// How many runs had a core or waited for one, from each moment on at which that changed.
+    pub fn levels(&self) -> Vec<(Instant, usize)> {
+        self.state.levels.borrow().clone()
+    }
+
     /// All runs so far, in the order in which they began.
     pub fn runs(&self) -> std::cell::Ref<'_, Vec<Ran>> {
         self.state.runs.borrow()
@@ -415,6 +423,7 @@
         let now = *state.on_cores.borrow();
         let most = now.max(*state.most_on_cores.borrow());
         *state.most_on_cores.borrow_mut() = most;
+        state.levels.borrow_mut().push((Instant::now(), now));
         OnCore(state)
     }
 }
@@ -422,5 +431,7 @@
 impl Drop for OnCore<'_> {
     fn drop(&mut self) {
         *self.0.on_cores.borrow_mut() -= 1;
+        let now = *self.0.on_cores.borrow();
+        self.0.levels.borrow_mut().push((Instant::now(), now));
     }
 }
