--- a/crates/node/tests/cold_start.rs
+++ b/crates/node/tests/cold_start.rs
@@ -109,7 +109,7 @@
     let mut clients = Vec::new();
     let balancer = Balancer::new(nodo.address, n as u64, Some(interpreter.clone()));
     // What waits for calls counts with the crowd, and so each process has one of the classes.
-    let class = if n % 2 == 0 { "read" } else { "look" };
+    let class = if n.is_multiple_of(2) { "read" } else { "look" };
     for _ in 0..OPEN {
         clients.push(spawn_local(client(balancer.clone(), class, go.clone(), served.clone())));
     }
