Keep the settings before a reload out of tenants and of X-Backend-Says

Seen, with five invented deployments taken by SIGHUP from each to each other one in running processes (tests/isolation.rs):

- After a deployment with tenants, one with none turned all requests away as bad: "assertion failed: clinic, left: (400, None), right: (503, None)".
At fault was request.rs, `read`: it asked whether the merged settings have tenants, and the merge keeps the places of those that nobody names any more, for what is open.
It asks the names in force now (`Names::has_tenants`).
- After a deployment that says tokens, one with `say` silent went on to send the last number on each answer: "archive: says Some("23.0000") of Silent".
At fault was the engine: the module says nothing more under such settings (`publish` returns early), and the number before stayed.
Answers go by `Engine::says` now; the number itself stays, as the module does not repeat one that has not changed.

Ruled out: the same deployments in a process of their own show neither, so the reading of settings is right; the merge is as its own tests want it.

The interpreter stand-in has runs that a test lets go (`HELD`), so that requests are open across a reload by order and not by time.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -14,7 +14,7 @@
 use crate::keys::tape::Taped as Keys;
 use crate::log;
 use crate::request::{Answer, Key, Label, Reply, ReplyTo};
-use jaspershunt::{Action, Controller, Event, Gauges, RequestId, Settings};
+use jaspershunt::{Action, Controller, Event, Gauges, RequestId, Say, Settings};
 use jaspershunt_capture::tap::Reason;
 use jaspershunt_dependencies::By;
 use jaspershunt_routes::Snapshot;
@@ -352,7 +352,7 @@
         match input {
             Input::Work { id, work, reply } => self.arrive(id, work, reply),
             Input::Check { reply } => {
-                reply.send(Reply::new(Answer::Health { good: self.in_health() }, self.say));
+                reply.send(Reply::new(Answer::Health { good: self.in_health() }, self.says()));
             }
             Input::Gone { id } => self.gone(id),
             Input::Heard(message) => self.heard(message),
@@ -393,6 +393,11 @@
         }
     }
 
+    /// The free number for an answer. Settings that were read anew may have callers told nothing; the module then says no other.
+    fn says(&self) -> Option<f64> {
+        self.say.filter(|_| self.settings.say != Say::Nothing)
+    }
+
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Run(id) => self.start_run(id),
--- a/crates/node/src/engine/arrivals.rs
+++ b/crates/node/src/engine/arrivals.rs
@@ -39,7 +39,7 @@
         if let Err((reply, answer)) = admitted {
             // It never reached the module, and is over.
             self.count_end(class, Some(&answer));
-            reply.send(Reply::new(answer, self.say));
+            reply.send(Reply::new(answer, self.says()));
         }
     }
 
@@ -197,7 +197,7 @@
             how.into_iter().for_each(|how| self.ways.desk.tally.borrow_mut().ended(table, how));
         }
         self.count_end(class, (!left).then_some(&answer));
-        reply.send(Reply { answer, say: self.say, label });
+        reply.send(Reply { answer, say: self.says(), label });
         self.owed -= 1;
         self.let_go(id);
     }
--- a/crates/node/src/engine/handover/tries.rs
+++ b/crates/node/src/engine/handover/tries.rs
@@ -118,7 +118,7 @@
     pub(super) fn tell(&self, class: usize, reply: Option<ReplyTo>, answer: Answer) {
         self.count_end(class, reply.is_some().then_some(&answer));
         if let Some(reply) = reply {
-            reply.send(Reply::new(answer, self.say));
+            reply.send(Reply::new(answer, self.says()));
         }
     }
 
--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -122,7 +122,7 @@
                 let names = &self.names;
                 match work.work(|name| names.class(name).ok(), |name| names.tenant(name)) {
                     Some(work) => self.arrive(id, work, reply),
-                    None => reply.send(Reply::new(Answer::Bad, self.say)),
+                    None => reply.send(Reply::new(Answer::Bad, self.says())),
                 }
             }
             Peer::Gone { ticket } => self.gone(self.partner.id_of(ticket)),
@@ -282,14 +282,14 @@
         // Guards against a refusal of a key that another try has had run at the other process.
         let stay_away = self.settings.max_stay_away;
         let answer = if keyed { Answer::Failed } else { Answer::Refused { stay_away, last: false } };
-        reply.send(Reply::new(answer, self.say));
+        reply.send(Reply::new(answer, self.says()));
     }
 
     /// The caller of a try that is out at the later start has gone; whether it was one.
     pub(super) fn relay_gone(&mut self, id: RequestId) -> bool {
         let Some(reply) = self.partner.relays.remove(&id.0) else { return false };
         self.partner.say(Message::Gone { ticket: id.0 });
-        reply.send(Reply::new(Answer::Failed, self.say));
+        reply.send(Reply::new(Answer::Failed, self.says()));
         true
     }
 
@@ -315,7 +315,7 @@
     /// The nodo is about to end: what is still owed fails.
     fn give_up_all(&mut self) {
         for id in std::mem::take(&mut self.partner.relays).into_iter().map(|(ticket, reply)| {
-            reply.send(Reply::new(Answer::Failed, self.say));
+            reply.send(Reply::new(Answer::Failed, self.says()));
             ticket
         }) {
             self.partner.say(Message::Gone { ticket: id });
@@ -375,7 +375,7 @@
     fn partner_lost(&mut self) {
         let partner = self.partner.replace(None);
         for (_, reply) in partner.relays {
-            reply.send(Reply::new(Answer::Failed, self.say));
+            reply.send(Reply::new(Answer::Failed, self.says()));
         }
         if partner.load != Load::default() {
             self.events.push(Event::Settings(Box::new(self.share())));
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -134,7 +134,7 @@
         return bad("X-Estimate-Ms", "must be an hour at most");
     }
     let tenant = field("X-Org").and_then(|name| names.tenant(name));
-    if tenant.is_none() && !settings.tenants.is_empty() {
+    if tenant.is_none() && names.has_tenants() {
         return bad("X-Org", "must name a tenant");
     }
     let resent = match field("X-Resent") {
--- /dev/null
+++ b/crates/node/tests/common/invented.rs
@@ -0,0 +1,194 @@
+//! Deployments that nobody runs: some names come in several of them, each time with another effect or deadline.
+
+use jaspershunt_stand_ins::balancer::{Answer, Request};
+
+/// Deadlines are either under this or far over it, so that no busy machine makes one look like the other.
+const SHORT_MS: u64 = 2_000;
+
+pub struct Class {
+    pub name: &'static str,
+    pub effect: &'static str,
+    pub deadline_ms: u64,
+    pub window_s: u32,
+}
+
+const fn class(name: &'static str, effect: &'static str, deadline_ms: u64, window_s: u32) -> Class {
+    Class { name, effect, deadline_ms, window_s }
+}
+
+impl Class {
+    pub fn is_short(&self) -> bool {
+        self.deadline_ms < SHORT_MS
+    }
+}
+
+/// What a deployment has callers told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Say {
+    Tokens,
+    MinRank,
+    Bias,
+    Silent,
+}
+
+pub struct Deployment {
+    pub name: &'static str,
+    pub classes: &'static [Class],
+    pub tenants: &'static [&'static str],
+    pub say: Say,
+    pub halt: &'static str,
+    pub passes_deadline: bool,
+    pub readiness: bool,
+    pub retry_after: bool,
+    /// The longest advice to stay away, in milliseconds: a prime of its own, also where none may be given.
+    pub stay_away_ms: u64,
+    pub cores: u32,
+    pub heap_kb: u32,
+    pub meters: &'static str,
+    pub grace_s: f64,
+}
+
+pub const DEPLOYMENTS: [Deployment; 5] = [
+    Deployment {
+        name: "harbour",
+        classes: &[class("pay", "guarded", 31_019, 4_001), class("view", "free", 701, 4_003)],
+        tenants: &["north", "south"],
+        say: Say::Tokens,
+        halt: "drop",
+        passes_deadline: false,
+        readiness: true,
+        retry_after: true,
+        stay_away_ms: 211,
+        cores: 11,
+        heap_kb: 100_003,
+        meters: r#"["core_use","on_cores"]"#,
+        grace_s: 0.13,
+    },
+    Deployment {
+        name: "clinic",
+        classes: &[class("pay", "free", 907, 4_007), class("intake", "single_shot", 37_013, 4_013)],
+        tenants: &[],
+        say: Say::MinRank,
+        halt: "pause",
+        passes_deadline: false,
+        readiness: false,
+        retry_after: false,
+        stay_away_ms: 223,
+        cores: 13,
+        heap_kb: 200_003,
+        meters: r#"["on_cores","heap_share","core_use"]"#,
+        grace_s: 0.17,
+    },
+    Deployment {
+        name: "mill",
+        classes: &[
+            class("pay", "single_shot", 29_009, 4_019),
+            class("view", "guarded", 43_003, 4_021),
+            class("grind", "free", 809, 4_027),
+            class("dye", "free", 33_013, 4_049),
+            class("ship", "guarded", 41_011, 4_051),
+        ],
+        tenants: &["east", "west", "south", "inland", "coast"],
+        say: Say::Bias,
+        halt: "drop",
+        passes_deadline: true,
+        readiness: true,
+        retry_after: true,
+        stay_away_ms: 307,
+        cores: 17,
+        heap_kb: 300_007,
+        meters: r#"["links","heap_share","on_cores","core_use"]"#,
+        grace_s: 0.19,
+    },
+    Deployment {
+        name: "archive",
+        classes: &[class("view", "free", 47_017, 4_057)],
+        tenants: &["north"],
+        say: Say::Silent,
+        halt: "silent",
+        passes_deadline: true,
+        readiness: false,
+        retry_after: true,
+        stay_away_ms: 401,
+        cores: 19,
+        heap_kb: 400_009,
+        meters: "[]",
+        grace_s: 0.23,
+    },
+    Deployment {
+        name: "school",
+        classes: &[
+            class("lesson", "free", 53_003, 4_073),
+            class("view", "single_shot", 1_009, 4_079),
+            class("pay", "guarded", 1_103, 4_091),
+        ],
+        tenants: &[],
+        say: Say::Tokens,
+        halt: "drop",
+        passes_deadline: false,
+        readiness: true,
+        retry_after: false,
+        stay_away_ms: 503,
+        cores: 23,
+        heap_kb: 500_009,
+        meters: r#"["brightness","on_cores"]"#,
+        grace_s: 0.29,
+    },
+];
+
+impl Deployment {
+    pub fn settings(&self) -> String {
+        let classes = self.classes.iter().map(|class| {
+            let (deadline, aim) = (class.deadline_ms as f64 / 1e3, class.deadline_ms as f64 / 2e3);
+            format!(
+                r#"{{"name":"{}","worth":1,"targetS":{aim},"deadlineS":{deadline},"semantics":"{}","windowS":{}}}"#,
+                class.name, class.effect, class.window_s
+            )
+        });
+        let tenant = |name: &&str| format!(r#"{{"name":"{name}","share":1,"allowancePerS":1000}}"#);
+        let say = match self.say {
+            Say::Tokens => "tokens",
+            Say::MinRank => "min_rank",
+            Say::Bias => "bias",
+            Say::Silent => "silent",
+        };
+        let classes = classes.collect::<Vec<_>>().join(",");
+        let tenants = self.tenants.iter().map(tenant).collect::<Vec<_>>().join(",");
+        format!(
+            r#"{{"classes":[{classes}],"orgs":[{tenants}],"domain":{{"nCores":{},"heapKb":{},"runFactor":4,"halt":"{}","say":"{say}","meters":{},"passesDeadline":{},"readiness":{},"dependsOn":"common","fairCalls":100,"callsOverS":5}},"allowed":{{"retryAfter":{},"maxRetryAfterS":{}}},"obligations":{{"coldFrom":0.3,"coldS":9,"fallMultiple":20,"fallS":2,"drainGraceS":{}}}}}"#,
+            self.cores,
+            self.heap_kb,
+            self.halt,
+            self.meters,
+            self.passes_deadline,
+            self.readiness,
+            self.retry_after,
+            self.stay_away_ms as f64 / 1e3,
+            self.grace_s,
+        )
+    }
+
+    pub fn class(&self, name: &str) -> Option<&'static Class> {
+        self.classes.iter().find(|class| class.name == name)
+    }
+
+    /// A request of one of its tenants; where it has none, of what is somebody else's tenant.
+    pub fn request(&self, class: &str, body: &str) -> Request {
+        let tenant = self.tenants.first().unwrap_or(&"coast").to_string();
+        let key = Some(format!("key of {body}"));
+        Request { tenant, key, ..Request::new(class, body.as_bytes()) }
+    }
+
+    /// Whether the free number has the form that it asks for. While calm, tokens are as many as cores, the least rank is 0, the bias 1.
+    pub fn says(&self, answer: &Answer) -> bool {
+        let says = answer.header("x-backend-says").map(|text| text.parse::<f64>().unwrap());
+        match (self.say, says) {
+            (Say::Silent, says) => says.is_none(),
+            (Say::Tokens, Some(tokens)) => tokens > 1.0,
+            // While it was 0 from the start there is nothing to tell.
+            (Say::MinRank, rank) => (0.0..1.0).contains(&rank.unwrap_or(0.0)),
+            (Say::Bias, Some(bias)) => bias > 0.0 && bias <= 1.0,
+            (_, None) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/isolation.rs
@@ -0,0 +1,367 @@
+//! No value of one deployment's settings reaches another: deployments that nobody runs, one process for each, and one process that is
+//! taken by SIGHUP from each of them to each other one. The stand-ins' records say what reached them.
+
+#[path = "common/invented.rs"]
+mod invented;
+#[path = "common/moments.rs"]
+mod moments;
+
+use invented::{Class, DEPLOYMENTS, Deployment};
+use jaspershunt_stand_ins::balancer::{Answer, Balancer, Request};
+use jaspershunt_stand_ins::dependency::{Dependency, Plan};
+use jaspershunt_stand_ins::interpreter::{HELD, Interpreter, Work};
+use jaspershunt_stand_ins::starts::{Nodo, Start};
+use moments::{GENEROUS, PROGRAM, local};
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+const MS: Duration = Duration::from_millis(1);
+/// Longer than any short deadline, and shorter than any long one.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// A request whose deadline is short may fail on a machine that is busy elsewhere. It is sent again, so often at most.
+const TRIES: usize = 5;
+/// Processes among which the round of all reloads is divided.
+const PROCESSES: usize = 4;
+/// Calls that the database works on at once: more than there are.
+const CALLS: usize = 64;
+/// What an interpreter gives a run before its call and after it: longer than [`HURRY_MS`].
+const PART: Duration = Duration::from_millis(10);
+/// What a caller says to wait that has no use for any answer.
+const HURRY_MS: u64 = 1;
+
+fn all_names(of: impl Fn(&Deployment) -> Vec<&'static str>) -> BTreeSet<&'static str> {
+    DEPLOYMENTS.iter().flat_map(of).collect()
+}
+
+fn class_names() -> BTreeSet<&'static str> {
+    all_names(|deployment| deployment.classes.iter().map(|class| class.name).collect())
+}
+
+/// A process, and what it talks to.
+struct Site {
+    nodo: Nodo,
+    start: Start,
+    interpreter: Interpreter,
+    database: Dependency,
+    balancer: Balancer,
+    settings: String,
+    reloads: usize,
+    requests: usize,
+}
+
+impl Site {
+    async fn start(name: &str, deployment: &Deployment, cold: bool) -> Site {
+        let database = Dependency::start(Plan::new("below", CALLS, MS)).await;
+        let mut nodo = Nodo::new(Path::new(PROGRAM), &format!("isolation-{name}")).await.unwrap();
+        nodo.alone = true;
+        nodo.settings = deployment.settings();
+        nodo.database = Some(database.address());
+        let names = class_names();
+        let classes: Vec<(&str, Work)> =
+            names.iter().map(|name| (*name, Work { part: PART, calls: 1 })).collect();
+        let interpreter = if cold {
+            Interpreter::start_cold(8, &classes).await
+        } else {
+            Interpreter::start(8, &classes).await
+        };
+        let start = timeout(GENEROUS, nodo.begin(interpreter.address())).await.unwrap().unwrap();
+        start.process.says("listens on").await;
+        if !cold {
+            timeout(GENEROUS, start.takes_clients()).await.unwrap();
+        }
+        let balancer = Balancer::new(nodo.address, 7, Some(interpreter.clone()));
+        let settings = nodo.settings.clone();
+        Site { nodo, start, interpreter, database, balancer, settings, reloads: 0, requests: 0 }
+    }
+
+    /// Takes the process to another deployment.
+    async fn reload(&mut self, to: &Deployment) {
+        let config = self.nodo.folder.join("config1.json");
+        let text = std::fs::read_to_string(&config).unwrap();
+        let settings = to.settings();
+        std::fs::write(&config, text.replace(&self.settings, &settings)).unwrap();
+        self.settings = settings;
+        self.reloads += 1;
+        self.start.process.hang_up();
+        let taken = async {
+            while self.nodo.logs().matches("new settings are in use").count() < self.reloads {
+                assert!(!self.nodo.logs().contains("stays in force"), "{}", self.nodo.logs());
+                sleep(MS).await;
+            }
+        };
+        timeout(GENEROUS, taken).await.unwrap_or_else(|_| panic!("no reload: {}", self.nodo.logs()));
+    }
+
+    fn body(&mut self, what: &str) -> String {
+        self.requests += 1;
+        format!("{what}-{}", self.requests)
+    }
+
+    async fn send(&self, request: &Request) -> Answer {
+        self.balancer.send(request, GENEROUS).await
+    }
+
+    async fn rows(&self) -> Value {
+        let told = self.start.call("INFO").await;
+        serde_json::from_str::<Value>(told.lines().next().unwrap()).unwrap()["transactions"].take()
+    }
+
+    /// Names of other deployments are turned away as bad, and nothing of that reaches the interpreter or the figures.
+    async fn knows_its_own_names_only(&mut self, own: &Deployment) {
+        let before = self.rows().await;
+        for name in class_names().into_iter().filter(|name| own.class(name).is_none()) {
+            let body = self.body("foreign class");
+            let answer = self.send(&own.request(name, &body)).await;
+            assert_eq!(answer.status, 400, "{}: class {name}", own.name);
+            assert_eq!(self.runs(&body), 0, "{}: class {name}", own.name);
+        }
+        let tenants = all_names(|deployment| deployment.tenants.to_vec());
+        for tenant in
+            tenants.into_iter().filter(|name| !own.tenants.is_empty() && !own.tenants.contains(name))
+        {
+            let body = self.body("foreign tenant");
+            let request = own.request(own.classes[0].name, &body);
+            let answer = self.send(&Request { tenant: tenant.to_string(), ..request }).await;
+            assert_eq!(answer.status, 400, "{}: tenant {tenant}", own.name);
+            assert_eq!(self.runs(&body), 0, "{}: tenant {tenant}", own.name);
+        }
+        let after = self.rows().await;
+        for (name, row) in after.as_object().unwrap() {
+            assert_eq!(row["taken"], before[name]["taken"], "{}: the figures of {name}", own.name);
+        }
+        for class in own.classes {
+            assert!(after[class.name].is_object(), "{}: the figures lack {}", own.name, class.name);
+        }
+    }
+
+    fn runs(&self, body: &str) -> usize {
+        self.interpreter.runs().iter().filter(|run| run.body == body.as_bytes()).count()
+    }
+
+    /// Each class and tenant is served, with this deployment's free number, and with its deadline on the way to the database.
+    async fn serves(&mut self, own: &Deployment) {
+        for class in own.classes {
+            let tenants = if own.tenants.is_empty() { &["nobody", "north"][..] } else { own.tenants };
+            for tenant in tenants {
+                let (body, answer) = self.served(own, class, tenant).await;
+                let run = self.interpreter.runs().iter().find(|run| run.body == body.as_bytes()).cloned();
+                assert_eq!(run.unwrap().class, class.name, "{}: the class of the run", own.name);
+                let record = self.database.record();
+                let call = record.calls.iter().find(|call| call.uid == answer.uid).expect("a call");
+                let (stated, deadline) = (call.timeout, Duration::from_millis(class.deadline_ms));
+                assert!(MS <= stated && stated <= deadline, "{}: {} states {stated:?}", own.name, class.name);
+            }
+        }
+    }
+
+    async fn served(&mut self, own: &Deployment, class: &Class, tenant: &str) -> (String, Answer) {
+        let tries = if class.is_short() { TRIES } else { 1 };
+        for _ in 0..tries {
+            let body = self.body("ordinary");
+            let request = Request { tenant: tenant.to_string(), ..own.request(class.name, &body) };
+            let answer = self.send(&request).await;
+            let says = answer.header("x-backend-says");
+            assert!(own.says(&answer), "{}: says {says:?} of {:?}", own.name, own.say);
+            if answer.status == 200 {
+                return (body, answer);
+            }
+            assert!(class.is_short(), "{}: {} of {tenant}: {answer:?}", own.name, class.name);
+        }
+        panic!("{}: {} of {tenant} was not served: {}", own.name, class.name, self.nodo.logs());
+    }
+
+    /// A word on how long a caller waits counts where the settings promise it, and nowhere else.
+    async fn minds_how_long_callers_wait(&mut self, own: &Deployment) {
+        let class = own.classes.iter().find(|class| !class.is_short()).expect("a class with a long deadline");
+        let body = self.body("hurried");
+        let request = Request { waits_ms: Some(HURRY_MS), ..own.request(class.name, &body) };
+        let answer = self.send(&request).await;
+        assert_eq!(answer.status == 200, !own.passes_deadline, "{}: {answer:?}", own.name);
+    }
+
+    /// A key keeps a body of a guarded class from running twice, also by way of another deployment, and no other class of that name.
+    async fn minds_keys(&mut self, own: &Deployment) {
+        for class in own.classes.iter().filter(|class| !class.is_short()) {
+            let body = format!("the same for {}", class.name);
+            let mut request = own.request(class.name, &body);
+            let (guarded, before) = (class.effect == "guarded", self.runs(&body));
+            for resent in [false, true] {
+                request.resent = resent;
+                assert_eq!(self.send(&request).await.status, 200, "{}: {}", own.name, class.name);
+            }
+            let ran = self.runs(&body) - before;
+            assert!(
+                if guarded { ran <= 1 } else { ran == 2 },
+                "{}: {} ran {ran} times",
+                own.name,
+                class.name
+            );
+        }
+    }
+
+    async fn check(&mut self, own: &Deployment) {
+        self.knows_its_own_names_only(own).await;
+        self.serves(own).await;
+        self.minds_how_long_callers_wait(own).await;
+        self.minds_keys(own).await;
+    }
+
+    /// Opens a request whose run does not end by itself.
+    async fn open(&mut self, own: &Deployment, class: &Class) -> Open {
+        let body = self.body(&format!("{}-{}", String::from_utf8_lossy(HELD), class.name));
+        let (balancer, request) = (self.balancer.clone(), own.request(class.name, &body));
+        let answer = spawn_local(async move { balancer.send(&request, GENEROUS).await });
+        let begun = async {
+            // On a busy machine one with a short deadline may be over before it runs.
+            while self.runs(&body) == 0 && !answer.is_finished() {
+                sleep(MS).await;
+            }
+        };
+        timeout(GENEROUS, begun)
+            .await
+            .unwrap_or_else(|_| panic!("{}: {} does not run", own.name, class.name));
+        Open { body, answer }
+    }
+
+    /// Opens a request of each class, goes over to another deployment, and has all answered by the deadlines that they came with.
+    async fn cross(&mut self, from: &Deployment, to: &Deployment) {
+        let what = format!("{} to {}", from.name, to.name);
+        let mut before = Vec::new();
+        for class in from.classes {
+            before.push((class, self.open(from, class).await));
+        }
+        self.reload(to).await;
+        self.check(to).await;
+        let mut after = Vec::new();
+        for class in to.classes.iter().filter(|class| class.is_short()) {
+            after.push((class, self.open(to, class).await));
+        }
+        // Nothing lets these runs go on: these answers come with the deadlines. By then, any short deadline of the later settings has
+        // passed for the earlier requests, too.
+        let short = before.extract_if(.., |(class, _)| class.is_short()).chain(after);
+        for (class, open) in short {
+            let answer = timeout(PATIENCE, open.answer).await;
+            let answer =
+                answer.unwrap_or_else(|_| panic!("{what}: {} outlasts its deadline", class.name)).unwrap();
+            assert!(![0, 200].contains(&answer.status), "{what}: {} {answer:?}", class.name);
+        }
+        for (class, open) in before {
+            assert!(!open.answer.is_finished(), "{what}: {} ended before its deadline", class.name);
+            self.interpreter.release(open.body.as_bytes());
+            let answer = open.answer.await.unwrap();
+            assert_eq!(
+                answer.text(),
+                format!("{0} {1} [below:{1}#1]", class.name, open.body),
+                "{what}: {answer:?}"
+            );
+        }
+    }
+}
+
+/// A request whose answer has not come yet.
+struct Open {
+    body: String,
+    answer: tokio::task::JoinHandle<Answer>,
+}
+
+/// A round that goes from each of `count` to each other one, once.
+fn round(count: usize) -> Vec<(usize, usize)> {
+    let mut left: BTreeSet<(usize, usize)> =
+        (0..count).flat_map(|a| (0..count).filter(move |b| a != *b).map(move |b| (a, b))).collect();
+    let (mut open, mut walked) = (vec![0], Vec::new());
+    // By Hierholzer: every place has as many ways out as in.
+    while let Some(&at) = open.last() {
+        match left.iter().find(|(from, _)| *from == at).copied() {
+            Some(way) => {
+                left.remove(&way);
+                open.push(way.1);
+            }
+            None => walked.extend(open.pop()),
+        }
+    }
+    walked.reverse();
+    walked.windows(2).map(|two| (two[0], two[1])).collect()
+}
+
+#[test]
+fn a_round_has_every_ordered_pair_once() {
+    let walked = round(DEPLOYMENTS.len());
+    assert_eq!(walked.len(), 20);
+    assert_eq!(walked.iter().collect::<BTreeSet<_>>().len(), 20);
+    assert!(walked.windows(2).all(|two| two[0].1 == two[1].0));
+}
+
+/// Each deployment in a process of its own: the figures name its classes and no other.
+#[test]
+fn a_process_has_the_values_of_its_own_deployment_only() {
+    local(async {
+        let plays = DEPLOYMENTS.iter().map(|own| {
+            spawn_local(async move {
+                let mut site = Site::start(own.name, own, false).await;
+                let rows = site.rows().await;
+                let named: BTreeSet<&str> = rows.as_object().unwrap().keys().map(String::as_str).collect();
+                assert_eq!(named, own.classes.iter().map(|class| class.name).collect(), "{}", own.name);
+                site.check(own).await;
+                for class in own.classes.iter().filter(|class| class.is_short()) {
+                    let open = site.open(own, class).await;
+                    let answer = timeout(PATIENCE, open.answer).await.expect("its deadline").unwrap();
+                    assert!(![0, 200].contains(&answer.status), "{}: {answer:?}", own.name);
+                }
+                site.start.process.terminate();
+                assert!(site.start.process.ends().await, "{}", site.nodo.logs());
+            })
+        });
+        for play in plays.collect::<Vec<_>>() {
+            play.await.unwrap();
+        }
+    });
+}
+
+/// Before its interpreter is up a process turns all away, with the longest advice that its settings allow: to the millisecond.
+#[test]
+fn advice_to_stay_away_is_that_of_the_settings_in_force() {
+    local(async {
+        let ways = round(DEPLOYMENTS.len());
+        let mut site = Site::start("advice", &DEPLOYMENTS[ways[0].0], true).await;
+        for own in ways.iter().map(|(_, to)| &DEPLOYMENTS[*to]) {
+            site.reload(own).await;
+            site.knows_its_own_names_only(own).await;
+            for class in own.classes {
+                let body = site.body("early");
+                let answer = site.send(&own.request(class.name, &body)).await;
+                let advice = own.retry_after.then(|| own.stay_away_ms.to_string());
+                assert_eq!(
+                    (answer.status, answer.header("x-pushback-ms")),
+                    (503, advice.as_deref()),
+                    "{}",
+                    own.name
+                );
+                assert_eq!(answer.header("x-backend-says"), None, "{}", own.name);
+            }
+        }
+        assert!(site.interpreter.runs().is_empty(), "it ran before it was up");
+    });
+}
+
+/// From each deployment to each other one in running processes, with requests open on the way. Each process takes a part of the round.
+#[test]
+fn a_reloaded_process_has_the_values_of_the_settings_in_force_only() {
+    local(async {
+        let ways = round(DEPLOYMENTS.len());
+        let plays = ways.chunks(ways.len() / PROCESSES).map(<[_]>::to_vec).enumerate().map(|(n, part)| {
+            spawn_local(async move {
+                let mut site = Site::start(&format!("part-{n}"), &DEPLOYMENTS[part[0].0], false).await;
+                for (from, to) in part {
+                    site.cross(&DEPLOYMENTS[from], &DEPLOYMENTS[to]).await;
+                }
+            })
+        });
+        for play in plays.collect::<Vec<_>>() {
+            play.await.unwrap();
+        }
+    });
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -40,6 +40,11 @@
         self.classes.iter().map(|(name, _)| name.as_str())
     }
 
+    /// Whether requests have to name a tenant. Settings that follow others may have places of tenants that nobody names any more.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
     /// The place of a tenant in the settings, if it is there.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         place(&self.tenants, name)
--- a/crates/stand-ins/src/interpreter.rs
+++ b/crates/stand-ins/src/interpreter.rs
@@ -5,7 +5,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use serde_json::{Value, json};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +18,9 @@
 /// Notices that are kept for a new link.
 const KEPT_NOTICES: usize = 4000;
 
+/// A run whose body begins so does nothing before [`Interpreter::release`].
+pub const HELD: &[u8] = b"held";
+
 /// What a run of a class does.
 #[derive(Clone, Debug, Default)]
 pub struct Work {
@@ -90,6 +93,9 @@
     up: RefCell<Option<Instant>>,
     cold: bool,
     most_on_cores: RefCell<usize>,
+    /// Bodies that begin with [`HELD`] and may run.
+    released: RefCell<BTreeSet<Vec<u8>>>,
+    release: Notify,
 }
 
 /// An interpreter that listens.
@@ -147,6 +153,8 @@
             up: RefCell::new((!cold).then(Instant::now)),
             cold,
             most_on_cores: RefCell::new(0),
+            released: RefCell::default(),
+            release: Notify::new(),
         });
         let all = state.clone();
         spawn_local(async move {
@@ -176,6 +184,12 @@
         }
     }
 
+    /// Runs of this body, which begins with [`HELD`], go on from now on.
+    pub fn release(&self, body: &[u8]) {
+        self.state.released.borrow_mut().insert(body.to_vec());
+        self.state.release.notify_waiters();
+    }
+
     /// The most runs that had a core or waited for one at a time.
     pub fn most_on_cores(&self) -> usize {
         *self.state.most_on_cores.borrow()
@@ -358,6 +372,9 @@
         let run = &state.runs.borrow()[place];
         (run.class.clone(), String::from_utf8_lossy(&run.body).into_owned())
     };
+    if body.as_bytes().starts_with(HELD) {
+        released(state, body.as_bytes()).await;
+    }
     let work = state.classes.get(&class).cloned().unwrap_or_default();
     let mut got = Vec::new();
     for call in 1..=work.calls {
@@ -389,6 +406,16 @@
     format!("{class} {body} [{}]", got.join(", "))
 }
 
+async fn released(state: &State, body: &[u8]) {
+    loop {
+        let release = state.release.notified();
+        if state.released.borrow().contains(body) {
+            return;
+        }
+        release.await;
+    }
+}
+
 async fn on_core(state: &State, time: Duration) {
     let _counted = OnCore::new(state);
     let Ok(_core) = state.cores.acquire().await else { return };
