--- /dev/null
+++ b/crates/node/tests/common/sites.rs
@@ -0,0 +1,182 @@
+//! Checks a site's folder: `NAME.toml`, and beside it what that needs.
+
+use std::collections::{BTreeSet, HashMap};
+use std::path::Path;
+use tinyjson::JsonValue;
+use toml::{Table, Value};
+
+/// Shares may add up to so much more or less than 1, as they are rounded.
+const TOLERANCE: f64 = 0.01;
+/// What stands beside the site's own file.
+const BESIDE: [&str; 3] = ["real.json", "wire.json", "unlock.txt"];
+
+/// Keys of a trouble whose two numbers come in either order in sites that the bench plays.
+const NO_RANGES: [&str; 2] = ["len_s", "extra"];
+
+/// What is wrong with the site of this name, whose folder is in `root`; a line for each fault, with file and key.
+pub fn check(root: &Path, name: &str) -> Vec<String> {
+    let folder = root.join(name);
+    let mut wrong = Vec::new();
+    for file in BESIDE {
+        let way = format!("deploy/sites/{name}/{file}");
+        match std::fs::read_to_string(folder.join(file)) {
+            Err(_) => wrong.push(format!("{way}: is missing")),
+            Ok(text) if file.ends_with(".json") => {
+                let read = text.parse::<JsonValue>();
+                if !read.is_ok_and(|value| value.get::<HashMap<String, JsonValue>>().is_some()) {
+                    wrong.push(format!("{way}: is no JSON object"));
+                }
+            }
+            Ok(_) => {}
+        }
+    }
+    let way = format!("deploy/sites/{name}/{name}.toml");
+    match std::fs::read_to_string(folder.join(format!("{name}.toml"))) {
+        Err(_) => wrong.push(format!("{way}: is missing")),
+        Ok(text) => match text.parse::<Table>() {
+            Err(e) => wrong.push(format!("{way}: is no TOML: {}", e.message())),
+            Ok(site) => {
+                wrong.extend(keys(&site, name, &folder).iter().map(|fault| format!("{way}: {fault}")))
+            }
+        },
+    }
+    wrong
+}
+
+/// The faults of a site's own file.
+fn keys(site: &Table, name: &str, folder: &Path) -> Vec<String> {
+    let mut wrong = Vec::new();
+    match text(site, "", "name") {
+        Ok(told) if told == name => {}
+        Ok(told) => wrong.push(format!("name: is {told}, and the folder is {name}")),
+        Err(fault) => wrong.push(fault),
+    }
+    match text(site, "", "wire") {
+        Ok(file) if file.contains('/') => wrong.push("wire: must name a file beside it".to_string()),
+        Ok(file) if !folder.join(file).is_file() => {
+            wrong.push(format!("wire: names {file}, which is not there"));
+        }
+        Ok(_) => {}
+        Err(fault) => wrong.push(fault),
+    }
+    ranges(&Value::Table(site.clone()), "", &mut wrong);
+    let classes = tables(site, "class");
+    for list in ["class", "tenant"] {
+        let entries = tables(site, list);
+        names(&entries, list, &mut wrong);
+        shares(&entries, list, &mut wrong);
+    }
+    if classes.is_empty() {
+        wrong.push("class: there is none".to_string());
+    }
+    for (n, class) in classes.iter().enumerate() {
+        wrong.extend(effect(class, &format!("class[{n}].")).err());
+        wrong.extend(times(class, &format!("class[{n}].")).err());
+    }
+    let family = site.get("fam").and_then(Value::as_table).map_or(0, |family| tables(family, "class").len());
+    if family != classes.len() {
+        wrong.push(format!("fam.class: has {family} entries, and class has {}", classes.len()));
+    }
+    wrong
+}
+
+fn tables<'a>(table: &'a Table, key: &str) -> Vec<&'a Table> {
+    let list = table.get(key).and_then(Value::as_array);
+    list.into_iter().flatten().filter_map(Value::as_table).collect()
+}
+
+fn need<'a>(table: &'a Table, way: &str, key: &str) -> Result<&'a Value, String> {
+    table.get(key).ok_or_else(|| format!("{way}{key}: is missing"))
+}
+
+fn text<'a>(table: &'a Table, way: &str, key: &str) -> Result<&'a str, String> {
+    need(table, way, key)?.as_str().ok_or_else(|| format!("{way}{key}: must be a text"))
+}
+
+fn as_number(value: &Value) -> Option<f64> {
+    value.as_float().or_else(|| value.as_integer().map(|whole| whole as f64))
+}
+
+fn number(table: &Table, way: &str, key: &str) -> Result<f64, String> {
+    as_number(need(table, way, key)?).ok_or_else(|| format!("{way}{key}: must be a number"))
+}
+
+/// Names that are there twice, or with other characters than they may have in paths and headers.
+fn names(entries: &[&Table], list: &str, wrong: &mut Vec<String>) {
+    let mut known = BTreeSet::new();
+    for (n, entry) in entries.iter().enumerate() {
+        let plain = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+        match text(entry, &format!("{list}[{n}]."), "name") {
+            Err(fault) => wrong.push(fault),
+            Ok(name) if name.is_empty() || !name.bytes().all(plain) => {
+                wrong.push(format!("{list}[{n}].name: must hold small letters, digits and '-' only"));
+            }
+            Ok(name) if !known.insert(name) => {
+                wrong.push(format!("{list}[{n}].name: {name} is there twice"));
+            }
+            Ok(_) => {}
+        }
+    }
+}
+
+fn shares(entries: &[&Table], list: &str, wrong: &mut Vec<String>) {
+    let mut sum = 0.0;
+    for (n, entry) in entries.iter().enumerate() {
+        match number(entry, &format!("{list}[{n}]."), "share") {
+            Ok(share) if share > 0.0 => sum += share,
+            Ok(_) => return wrong.push(format!("{list}[{n}].share: must be above 0")),
+            Err(fault) => return wrong.push(fault),
+        }
+    }
+    if !entries.is_empty() && (sum - 1.0).abs() > TOLERANCE {
+        wrong.push(format!("{list}: the shares add up to {:.4}", sum));
+    }
+}
+
+fn effect(class: &Table, way: &str) -> Result<(), String> {
+    let window = class.contains_key("window_ms");
+    match text(class, way, "effect")? {
+        "keyed" if !window => Err(format!("{way}window_ms: is missing; a keyed class needs one")),
+        "keyed" if number(class, way, "window_ms")? <= 0.0 => Err(format!("{way}window_ms: must be above 0")),
+        "keyed" => Ok(()),
+        "safe" | "unsafe" if window => Err(format!("{way}window_ms: is for keyed classes only")),
+        "safe" | "unsafe" => Ok(()),
+        _ => Err(format!("{way}effect: must be safe, keyed or unsafe")),
+    }
+}
+
+fn times(class: &Table, way: &str) -> Result<(), String> {
+    let (aim, deadline) = (number(class, way, "aim_ms")?, number(class, way, "deadline_ms")?);
+    if aim <= 0.0 {
+        return Err(format!("{way}aim_ms: must be above 0"));
+    }
+    if aim > deadline {
+        return Err(format!("{way}aim_ms: is beyond deadline_ms"));
+    }
+    Ok(())
+}
+
+/// Lists of two numbers are ranges, but for those that [`NO_RANGES`] names.
+fn ranges(value: &Value, way: &str, wrong: &mut Vec<String>) {
+    match value {
+        Value::Table(table) => {
+            let ordered = |key: &str| !way.starts_with("trouble[") || !NO_RANGES.contains(&key);
+            for (key, value) in table.iter().filter(|(key, _)| ordered(key)) {
+                let dot = if way.is_empty() { "" } else { "." };
+                ranges(value, &format!("{way}{dot}{key}"), wrong);
+            }
+        }
+        Value::Array(list) => match list.iter().map(as_number).collect::<Option<Vec<f64>>>().as_deref() {
+            Some([from, to]) if from > to => {
+                wrong.push(format!("{way}: is a range that ends before it begins"));
+            }
+            Some(_) => {}
+            None => {
+                for (n, entry) in list.iter().enumerate() {
+                    ranges(entry, &format!("{way}[{n}]"), wrong);
+                }
+            }
+        },
+        _ => {}
+    }
+}
