End held runs of the isolation test with an error and not with a result

Two of five runs failed on a busy machine: "harbour: view of north was not served". A held run that ended well taught the module that its class takes as long as it was held; what is learned goes by the name of a class over a reload (src/logic/adopt.rs says so), and a class of that name with a deadline below that was then turned away as hopeless, each time. Failed runs teach nothing. That a request is open beyond the later deadline is judged before its run is ended, as it was.

--- a/crates/stand-ins/src/interpreter.rs
+++ b/crates/stand-ins/src/interpreter.rs
@@ -18,7 +18,7 @@
 /// Notices that are kept for a new link.
 const KEPT_NOTICES: usize = 4000;
 
-/// A run whose body begins so does nothing before [`Interpreter::release`].
+/// A run whose body begins so does nothing, and ends with an error at [`Interpreter::fail`].
 pub const HELD: &[u8] = b"held";
 
 /// What a run of a class does.
@@ -93,9 +93,9 @@
     up: RefCell<Option<Instant>>,
     cold: bool,
     most_on_cores: RefCell<usize>,
-    /// Bodies that begin with [`HELD`] and may run.
-    released: RefCell<BTreeSet<Vec<u8>>>,
-    release: Notify,
+    /// Bodies that begin with [`HELD`] and whose runs end.
+    failing: RefCell<BTreeSet<Vec<u8>>>,
+    fails: Notify,
 }
 
 /// An interpreter that listens.
@@ -153,8 +153,8 @@
             up: RefCell::new((!cold).then(Instant::now)),
             cold,
             most_on_cores: RefCell::new(0),
-            released: RefCell::default(),
-            release: Notify::new(),
+            failing: RefCell::default(),
+            fails: Notify::new(),
         });
         let all = state.clone();
         spawn_local(async move {
@@ -184,10 +184,10 @@
         }
     }
 
-    /// Runs of this body, which begins with [`HELD`], go on from now on.
-    pub fn release(&self, body: &[u8]) {
-        self.state.released.borrow_mut().insert(body.to_vec());
-        self.state.release.notify_waiters();
+    /// Runs of this body, which begins with [`HELD`], end with an error from now on.
+    pub fn fail(&self, body: &[u8]) {
+        self.state.failing.borrow_mut().insert(body.to_vec());
+        self.state.fails.notify_waiters();
     }
 
     /// The most runs that had a core or waited for one at a time.
@@ -337,7 +337,7 @@
         let mut runs = std::pin::pin!(run(&state, &uid, place));
         let (end, content) = loop {
             tokio::select! {
-                content = &mut runs => break ("OK", content),
+                ended = &mut runs => break ended,
                 () = stop.notified() => {}
             }
             // A request that is over ends its run, and so does an order to stop where nothing is paused.
@@ -366,14 +366,15 @@
     });
 }
 
-/// Does the work of a run; its result names what it got for each call, in order.
-async fn run(state: &State, uid: &str, place: usize) -> String {
+/// Does the work of a run; how it ended, and its result, which names what it got for each call, in order.
+async fn run(state: &State, uid: &str, place: usize) -> (&'static str, String) {
     let (class, body) = {
         let run = &state.runs.borrow()[place];
         (run.class.clone(), String::from_utf8_lossy(&run.body).into_owned())
     };
     if body.as_bytes().starts_with(HELD) {
-        released(state, body.as_bytes()).await;
+        until_failing(state, body.as_bytes()).await;
+        return ("ERROR", String::new());
     }
     let work = state.classes.get(&class).cloned().unwrap_or_default();
     let mut got = Vec::new();
@@ -403,16 +404,16 @@
         });
     }
     on_core(state, work.part).await;
-    format!("{class} {body} [{}]", got.join(", "))
+    ("OK", format!("{class} {body} [{}]", got.join(", ")))
 }
 
-async fn released(state: &State, body: &[u8]) {
+async fn until_failing(state: &State, body: &[u8]) {
     loop {
-        let release = state.release.notified();
-        if state.released.borrow().contains(body) {
+        let fails = state.fails.notified();
+        if state.failing.borrow().contains(body) {
             return;
         }
-        release.await;
+        fails.await;
     }
 }
 
