Test that a nodo of the same name at another address is not taken over

Two deployments with one $TMPDIR and one name: the second is turned away by the first, says why, leaves its keys alone, and serves at its own address once the first has ended. The guard is in upgrade/mod.rs, `greeted`. Without its look at the address the second never says that it waits, and the test fails after 30 s in `says`.

--- /dev/null
+++ b/crates/node/tests/shared_folder.rs
@@ -0,0 +1,58 @@
+//! Two deployments on one machine whose processes have the same name and the same `$TMPDIR`: neither takes the other one over, and no
+//! key of one is known to the other.
+
+#[path = "common/moments.rs"]
+mod moments;
+
+use jaspershunt_stand_ins::balancer::Balancer;
+use jaspershunt_stand_ins::starts::{Nodo, keyed};
+use moments::{GENEROUS, PROGRAM, local};
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// The second waits as long as the first lives, says why, and leaves its address, requests and keys alone. It then serves at its own.
+#[test]
+fn a_process_with_another_address_does_not_take_over() {
+    local(async {
+        let mut site = Nodo::new(Path::new(PROGRAM), "shared-folder").await.unwrap();
+        let mut first = timeout(GENEROUS, site.start()).await.unwrap().unwrap();
+        let first_at = site.address;
+        let other = Nodo::new(Path::new(PROGRAM), "shared-folder-other").await.unwrap();
+        site.address = other.address;
+        let mut second = timeout(GENEROUS, site.start_early()).await.unwrap().unwrap();
+        let why = second.process.says("upgrade: another start does not hand over: ");
+        let why = timeout(GENEROUS, why).await.unwrap_or_else(|_| panic!("{}", site.logs()));
+        let expected =
+            format!("it is n1 on {}, this process n1 on {first_at}; this one waits", other.address);
+        assert_eq!(why, expected);
+        assert!(!second.serves().await && first.serves().await, "{}", site.logs());
+
+        let balancer = Balancer::new(first_at, 1, Some(site.interpreters[0].clone()));
+        let request = keyed("sign", "shared", false);
+        assert_eq!(balancer.send(&request, GENEROUS).await.status, 200, "{}", site.logs());
+        assert_eq!((site.interpreters[0].runs().len(), site.interpreters[1].runs().len()), (1, 0));
+        first.process.terminate();
+        assert!(timeout(GENEROUS, first.process.ends()).await.unwrap(), "{}", site.logs());
+
+        timeout(GENEROUS, second.takes_clients()).await.unwrap_or_else(|_| panic!("{}", site.logs()));
+        let balancer = Balancer::new(other.address, 2, Some(site.interpreters[1].clone()));
+        let answer = async {
+            // It listens once it has the right.
+            loop {
+                let answer = balancer.send(&request, GENEROUS).await;
+                if answer.status != 0 {
+                    return answer;
+                }
+                sleep(MS).await;
+            }
+        };
+        let answer = timeout(GENEROUS, answer).await.unwrap_or_else(|_| panic!("{}", site.logs()));
+        assert_eq!((answer.status, site.interpreters[1].runs().len()), (200, 1), "{}", site.logs());
+        assert!(!site.logs().contains("keys were taken over"), "{}", site.logs());
+        second.process.terminate();
+        assert!(timeout(GENEROUS, second.process.ends()).await.unwrap(), "{}", site.logs());
+    });
+}
