Judge a try by when it came, and remember keys for the longer of two windows

Seen: with an injected clock, three tries of a key that had run were run again within the window.

- A reload to a longer window: `start_run` fixed the end of the window at the run (engine/runs.rs, `started(.., arrived + window + slack)`), and nothing moved it, so that the key was forgotten at the end of the old one.
The windows of runs that are known now grow with the settings.
- A try that came under the shorter window and waited for a core until the longer one was in force: `start_run` took the window of the place it came with.
It now takes the longer of that and the one in force.
- A try that came within the window and was read after it, with the process kept from its work: `Keys::arrived` and `Engine::round` expired by the time of the reading.
A try is now judged by X-Arrived-Ms, and keys stay for as long as a request can lie unread and still be run.

Ruled out: a shorter window takes nothing from a key that ran (its end is that of the run); a try that waits for a run while the window ends is served by it; the ledger of the module (src/state.rs) decides nothing here, since the engine says what a try repeats.

Without each part, in engine::tests::reload: "assertion failed: !runs(&mut rig, 2, 0.0)" (no lengthening; the window of the place alone; a window that got shorter before), "assertion `left == right` failed, left: [], right: [(2, Served([7]))]" (the time of reading; no time beyond the window; other keys expired by an arrival), "assertion failed: runs(&mut rig, 3, 0.0)" (no bound on what changes to and fro add up to).

--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -123,8 +123,8 @@
         self.bytes
     }
 
-    /// A try was read. Returns the earlier try that it repeats: one that ran within the window, or one that is still
-    /// held, as `held` tells. If there is none, this try is what later ones repeat.
+    /// A try was read that came at `arrived`. Returns the earlier try that it repeats: one that ran and in whose window this
+    /// one came, or one that is still held, as `held` tells. If there is none, this try is what later ones repeat.
     ///
     /// # Errors
     /// There is no room for a new key, or the try is none of the request that the key is known for.
@@ -133,10 +133,15 @@
         key: &Key,
         print: u64,
         id: RequestId,
-        now: f64,
+        arrived: f64,
         held: impl Fn(RequestId) -> bool,
     ) -> Result<Option<RequestId>, NotTaken> {
-        self.expire(now);
+        // Of this key alone: tries of others that came earlier may be read later.
+        if let Some(ran) = self.records.get(key).and_then(|record| record.ran.as_ref())
+            && ran.until < micros(arrived)
+        {
+            self.forget_run(ran.until, key);
+        }
         if !self.records.contains_key(key) {
             let most = self.most;
             self.make_room(weight(key));
@@ -317,17 +322,33 @@
 
     /// Forgets the runs whose window has passed.
     pub fn expire(&mut self, now: f64) {
-        while let Some((_, key)) = self.ends.first().filter(|(until, _)| *until < micros(now)).cloned() {
-            self.ends.pop_first();
-            if let Some(record) = self.records.get_mut(&key)
-                && let Some(ran) = record.ran.take()
-                && let Run::Done(result) = ran.run
-            {
-                self.bytes -= result.len();
-                self.results.remove(&(ran.until, key.clone()));
-            }
-            self.drop_if_empty(&key);
+        while let Some((until, key)) = self.ends.first().filter(|(until, _)| *until < micros(now)).cloned() {
+            self.forget_run(until, &key);
+        }
+    }
+
+    /// Windows are longer by so many seconds from now on, and with them those of the runs that are known. None of them has to
+    /// be remembered beyond `most`.
+    pub fn lengthen(&mut self, by: f64, most: f64) {
+        let longer = |until: u64| until.max(until.saturating_add(micros(by)).min(micros(most)));
+        for ran in self.records.values_mut().filter_map(|record| record.ran.as_mut()) {
+            ran.until = longer(ran.until);
         }
+        for index in [&mut self.ends, &mut self.results] {
+            *index = std::mem::take(index).into_iter().map(|(until, key)| (longer(until), key)).collect();
+        }
+    }
+
+    fn forget_run(&mut self, until: u64, key: &Key) {
+        self.ends.remove(&(until, key.clone()));
+        if let Some(record) = self.records.get_mut(key)
+            && let Some(ran) = record.ran.take()
+            && let Run::Done(result) = ran.run
+        {
+            self.bytes -= result.len();
+            self.results.remove(&(ran.until, key.clone()));
+        }
+        self.drop_if_empty(key);
     }
 
     fn drop_if_empty(&mut self, key: &Key) {
--- a/crates/keys/src/tape.rs
+++ b/crates/keys/src/tape.rs
@@ -18,7 +18,7 @@
         print: u64,
         /// Its id.
         id: RequestId,
-        /// The time.
+        /// When it came.
         now: f64,
         /// The try that held the key before was still held, if that was asked.
         held: bool,
@@ -50,6 +50,8 @@
     },
     /// Runs of tries from this id on are over, and nobody knows how.
     FailFrom(RequestId),
+    /// Windows are longer by so many seconds, and end at this time at the latest.
+    Lengthen(f64, f64),
 }
 
 /// What became of a key of another process.
@@ -91,7 +93,7 @@
             | Call::Ended(key, ..)
             | Call::NeverRan(key, _)
             | Call::Adopt { key, .. } => Some(key),
-            Call::Expire(_) | Call::FailFrom(_) => None,
+            Call::Expire(_) | Call::FailFrom(_) | Call::Lengthen(..) => None,
         }
     }
 
@@ -116,6 +118,7 @@
                 keys.adopt(key, *print, *id, *until, run);
             }
             Call::FailFrom(first) => drop(keys.fail_from(*first)),
+            Call::Lengthen(by, most) => keys.lengthen(*by, *most),
         }
         None
     }
@@ -161,7 +164,7 @@
         key: &Key,
         print: u64,
         id: RequestId,
-        now: f64,
+        arrived: f64,
         held: impl Fn(RequestId) -> bool,
     ) -> Came {
         let was_held = std::cell::Cell::new(false);
@@ -169,9 +172,9 @@
             was_held.set(held(id));
             was_held.get()
         };
-        let came = self.keys.arrived(key, print, id, now, asked);
+        let came = self.keys.arrived(key, print, id, arrived, asked);
         let held = was_held.get();
-        self.note(|| Call::Arrived { key: key.clone(), print, id, now, held }, Some(came));
+        self.note(|| Call::Arrived { key: key.clone(), print, id, now: arrived, held }, Some(came));
         came
     }
 
@@ -225,6 +228,12 @@
         self.keys.adopt(key, print, id, until, run)
     }
 
+    /// [`Keys::lengthen`].
+    pub fn lengthen(&mut self, by: f64, most: f64) {
+        self.note(|| Call::Lengthen(by, most), None);
+        self.keys.lengthen(by, most);
+    }
+
     /// [`Keys::fail_from`].
     pub fn fail_from(&mut self, first: RequestId) -> Vec<Key> {
         self.note(|| Call::FailFrom(first), None);
--- a/crates/keys/src/tape/tests.rs
+++ b/crates/keys/src/tape/tests.rs
@@ -37,6 +37,7 @@
                 5 => table.forget(&key, earlier),
                 6 => table.never_ran(&key, earlier),
                 7 => table.expire(now),
+                8 if random.below(4) == 0 => table.lengthen(2.0, now + 6.0),
                 _ => match random.below(4) {
                     0 => table.hold(&key, id),
                     1 => drop(table.fail_from(RequestId(n - n % 50))),
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -314,7 +314,7 @@
         // After all of the batch was read, before any of it can run: see `upgrade::claims`.
         self.look();
         self.begin_capture();
-        self.keys.expire(self.now);
+        self.expire_keys();
         for input in batch {
             self.take(input);
         }
--- a/crates/node/src/engine/arrivals.rs
+++ b/crates/node/src/engine/arrivals.rs
@@ -121,7 +121,8 @@
                 key,
                 print(&self.settings.classes[work.class].name, &work.body),
                 id,
-                self.now,
+                // Guards against a try that came within the window and was read after it, behind much else.
+                arrived,
                 held,
             ) {
                 Ok(earlier) => repeats = earlier,
--- a/crates/node/src/engine/keys.rs
+++ b/crates/node/src/engine/keys.rs
@@ -1,12 +1,49 @@
 //! Tries of one key: those that wait for its run get what it makes.
 
-use super::{Engine, Place};
+use super::upgrade::longest;
+use super::{Engine, Place, WINDOW_SLACK};
 use crate::keys::Run;
 use crate::request::{Answer, Key};
-use jaspershunt::{Event, Outcome, RequestId};
+use jaspershunt::{Event, Outcome, Repeat, RequestId, Settings};
+use jaspershunt_settings::Names;
 use std::rc::Rc;
 
+/// The window in force for the keys of the class of this name; 0 where there are none.
+fn window_in_force(settings: &Settings, names: &Names, name: &str) -> f64 {
+    match names.class(name).map(|place| settings.classes[place].repeat) {
+        Ok(Repeat::Keyed(window)) => window,
+        _ => 0.0,
+    }
+}
+
 impl Engine {
+    /// Forgets keys whose window has passed. They stay for as long as a request can lie unread and still be run, since one
+    /// that came within the window is judged by when it came.
+    pub(super) fn expire_keys(&mut self) {
+        self.keys.expire(self.now - longest(&self.settings, |class| class.deadline));
+    }
+
+    /// How long a key is remembered whose run begins now: by the settings that its request came under, and by those in force.
+    pub(super) fn window_of(&self, class: usize) -> f64 {
+        let class = &self.settings.classes[class];
+        let own = if let Repeat::Keyed(window) = class.repeat { window } else { 0.0 };
+        own.max(window_in_force(&self.settings, &self.names, &class.name))
+    }
+
+    /// Has keys remembered for the windows of settings that come into force. Guards against a key that ran under a shorter
+    /// window and would run again within the longer one. A window that gets shorter takes nothing from keys that ran. What
+    /// class a key is of is not kept, so all stay for the largest change; a class that was not there may have been before.
+    pub(super) fn lengthen_windows(&mut self, settings: &Settings, names: &Names) {
+        let window = |name| window_in_force(settings, names, name);
+        let longer = |name| window(name) - window_in_force(&self.settings, &self.names, name);
+        let by = names.classes().map(longer).fold(0.0, f64::max);
+        if by > 0.0 {
+            let longest = names.classes().map(window).fold(0.0, f64::max);
+            // Whatever ran has come by now.
+            self.keys.lengthen(by, self.now + longest + WINDOW_SLACK);
+        }
+    }
+
     /// The run of a key is over: those that wait for it get what it made. Only the first report counts.
     pub(super) fn key_ended(&mut self, key: &Key, id: RequestId, result: Option<Rc<[u8]>>) {
         self.keys.ended(key, id, result.clone());
--- a/crates/node/src/engine/runs.rs
+++ b/crates/node/src/engine/runs.rs
@@ -91,7 +91,7 @@
     /// Starts a run, or takes up a paused one. The module keeps keyed requests from running twice; this guards the
     /// rule once more, with the nodo's own record of what ran: such a try gets what that run made.
     pub(super) fn start_run(&mut self, id: RequestId) {
-        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Some(entry) = self.requests.get(&id) else { return };
         let resumes = entry.started && self.settings.halt == Halt::Pause;
         if let Some(key) = entry.key.clone()
             && !resumes
@@ -101,12 +101,10 @@
                 self.write_capture(Reason::Guard);
                 return self.follow(id);
             }
-            let window = match self.settings.classes[entry.class].repeat {
-                Repeat::Keyed(window) => window,
-                _ => 0.0,
-            };
+            let window = self.window_of(entry.class);
             self.keys.started(&key, id, entry.arrived + window + WINDOW_SLACK);
         }
+        let Some(entry) = self.requests.get_mut(&id) else { return };
         entry.place = Place::Running;
         entry.started = true;
         if !resumes {
--- a/crates/node/src/engine/settings.rs
+++ b/crates/node/src/engine/settings.rs
@@ -20,6 +20,7 @@
         let free = |place| !self.names.uses(place) && !open(place);
         let (settings, names) = merge(&self.settings, facts.settings.clone(), facts.names.clone(), free)
             .map_err(|problem| format!("settings.{problem}"))?;
+        self.lengthen_windows(&settings, &names);
         self.classes = settings.classes.iter().map(|class| interpreter::quoted(&class.name)).collect();
         self.ways.desk.counts.borrow_mut().name(names.classes());
         (self.settings, self.names) = (settings.clone(), names.clone());
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -7,7 +7,7 @@
 use tokio::task::LocalSet;
 use tokio::time::timeout_at;
 
-const SETTINGS: &str = concat!(
+pub(super) const SETTINGS: &str = concat!(
     r#"{"classes":[{"name":"read","worth":1,"targetS":2,"deadlineS":4,"semantics":"free"},"#,
     r#"{"name":"sign","worth":3,"targetS":2,"deadlineS":4,"semantics":"guarded","windowS":60}],"#,
     r#""domain":{"nCores":1,"heapKb":10000,"runFactor":4,"halt":"drop","say":"tokens","meters":["on_cores"],"#,
@@ -23,7 +23,7 @@
     inputs: mpsc::Receiver<Input>,
     _input: mpsc::Sender<Input>,
     commands: mpsc::Receiver<Command>,
-    calls: mpsc::Receiver<database::Call>,
+    pub(super) calls: mpsc::Receiver<database::Call>,
     mode: watch::Receiver<Option<Mode>>,
     replies: mpsc::Receiver<(u16, Reply)>,
     reply_to: mpsc::Sender<(u16, Reply)>,
@@ -35,7 +35,7 @@
         Rig::with(SETTINGS)
     }
 
-    fn with(settings: &str) -> Rig {
+    pub(super) fn with(settings: &str) -> Rig {
         let mut rig = Rig::told(settings);
         let banner = Message::Banner { cold: false, age: 5.0 };
         rig.engine.round([Input::Heard(banner), Input::LinkUp]);
@@ -108,7 +108,7 @@
         Input::Heard(Message::Value { pos: self.pos, uid: format!("{id:016x}").into(), end })
     }
 
-    fn wait(&mut self, id: u64) -> Input {
+    pub(super) fn wait(&mut self, id: u64) -> Input {
         self.pos += 1;
         Input::Heard(Message::Await { pos: self.pos, uid: format!("{id:016x}").into(), content: vec![2] })
     }
@@ -686,3 +686,5 @@
         assert_eq!(ports, [(1, 11), (2, 12), (3, 11)]);
     });
 }
+
+mod reload;
--- /dev/null
+++ b/crates/node/src/engine/tests/reload.rs
@@ -0,0 +1,203 @@
+//! Settings that change while keys are remembered and requests are open, on a clock that stands until all is done.
+
+use super::*;
+
+/// The settings of the tests with this in the place of that.
+fn changed(from: &str, to: &str) -> String {
+    let text = SETTINGS.replace(from, to);
+    assert_ne!(text, SETTINGS, "{from}");
+    text
+}
+
+/// The settings with another window for the keyed class.
+fn window(seconds: u32) -> String {
+    SETTINGS.replace("\"windowS\":60", &format!("\"windowS\":{seconds}"))
+}
+
+/// Has these settings taken up, as at a SIGHUP.
+fn reload(rig: &mut Rig, text: &str) {
+    let (settings, names) = jaspershunt_settings::read(text, "settings").unwrap();
+    let (done, mut taken) = oneshot::channel();
+    rig.engine.obey(Order::Settings { facts: Rc::new(Facts { settings, names }), done });
+    assert_eq!(taken.try_recv(), Ok(Ok(())));
+}
+
+/// A try of the one key, under the class as the settings in force have it.
+fn sign(rig: &Rig, id: u64, waited: f64) -> Input {
+    let class = rig.engine.names.class("sign").unwrap();
+    match rig.work(id, 1, waited) {
+        Input::Work { id, work, reply } => Input::Work { id, work: Work { class, ..work }, reply },
+        other => other,
+    }
+}
+
+/// Runs a first try of the key to its end.
+fn run_first(rig: &mut Rig) {
+    let first = sign(rig, 1, 0.0);
+    rig.engine.round([first]);
+    let end = rig.value(1, RunEnd::Done(vec![7]));
+    rig.engine.round([end]);
+    assert_eq!(rig.commands(), ["apply 1"]);
+    assert_eq!(rig.answers(), [(1, served(&[7]))]);
+}
+
+/// A try is read now that came to the machine so long ago; whether it is run.
+fn runs(rig: &mut Rig, id: u64, waited: f64) -> bool {
+    let again = sign(rig, id, waited);
+    rig.engine.round([again]);
+    let commands = rig.commands();
+    let ran = !commands.is_empty();
+    assert!(!ran || commands == [format!("apply {id}")], "{commands:?}");
+    if !ran {
+        assert_eq!(rig.answers(), [(id as u16, served(&[7]))]);
+    }
+    ran
+}
+
+#[test]
+fn a_key_that_ran_before_its_window_got_shorter_does_not_run_again_in_the_longer_one() {
+    paused(async {
+        let mut rig = Rig::new();
+        run_first(&mut rig);
+        reload(&mut rig, &window(5));
+        rig.until(59.9).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+    });
+}
+
+/// A window that gets longer takes nothing from a key that ran under a still longer one.
+#[test]
+fn a_key_that_ran_under_the_longest_of_three_windows_is_remembered_for_that() {
+    paused(async {
+        let mut rig = Rig::new();
+        run_first(&mut rig);
+        reload(&mut rig, &window(5));
+        reload(&mut rig, &window(30));
+        rig.until(59.9).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+    });
+}
+
+#[test]
+fn a_key_that_ran_before_its_window_got_longer_does_not_run_again_in_the_longer_one() {
+    paused(async {
+        let mut rig = Rig::with(&window(5));
+        run_first(&mut rig);
+        rig.until(3.0).await;
+        reload(&mut rig, &window(60));
+        rig.until(59.9).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+        rig.until(60.2).await;
+        assert!(runs(&mut rig, 3, 0.0), "it is remembered for no longer than that");
+    });
+}
+
+/// Guards against a window that grows with each change to and fro.
+#[test]
+fn windows_that_change_to_and_fro_end() {
+    paused(async {
+        let mut rig = Rig::with(&window(5));
+        run_first(&mut rig);
+        for _ in 0..20 {
+            reload(&mut rig, &window(30));
+            reload(&mut rig, &window(5));
+        }
+        rig.until(29.9).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+        rig.until(30.2).await;
+        assert!(runs(&mut rig, 3, 0.0));
+    });
+}
+
+/// It came under the shorter window and waits for the core until the longer one is in force.
+#[test]
+fn a_try_that_waits_while_its_window_gets_longer_is_remembered_for_the_longer_one() {
+    paused(async {
+        let mut rig = Rig::with(&window(5));
+        let ahead = rig.work(9, 0, 0.0);
+        rig.engine.round([ahead]);
+        let waits = sign(&rig, 1, 0.0);
+        rig.engine.round([waits]);
+        assert_eq!(rig.commands(), ["apply 9"]);
+        reload(&mut rig, &window(60));
+        for id in [9, 1] {
+            let end = rig.value(id, RunEnd::Done(vec![7]));
+            rig.engine.round([end]);
+        }
+        assert_eq!(rig.commands(), ["apply 1"]);
+        assert_eq!(rig.answers().len(), 2);
+        rig.until(59.0).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+    });
+}
+
+/// The class is taken out of the settings and put back with a longer window.
+#[test]
+fn a_class_that_comes_back_with_a_longer_window_has_its_keys_remembered_for_it() {
+    paused(async {
+        let mut rig = Rig::with(&window(5));
+        run_first(&mut rig);
+        reload(&mut rig, &changed("\"sign\"", "\"other\""));
+        reload(&mut rig, &window(30));
+        rig.until(29.9).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+    });
+}
+
+#[test]
+fn the_last_instant_of_a_window_is_within_it_and_what_comes_later_is_not() {
+    paused(async {
+        let mut rig = Rig::new();
+        run_first(&mut rig);
+        rig.until(60.0).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+        rig.until(60.0 + WINDOW_SLACK + 0.01).await;
+        assert!(runs(&mut rig, 3, 0.0));
+    });
+}
+
+/// The nodo is kept from its work as the window ends: what counts is when the try came, not when it is read.
+#[test]
+fn a_try_that_came_within_the_window_and_is_read_after_it_does_not_run() {
+    paused(async {
+        let mut rig = Rig::new();
+        run_first(&mut rig);
+        rig.until(61.0).await;
+        // Nothing else that is read first may make the nodo forget it.
+        let other = match rig.work(5, 1, 0.0) {
+            Input::Work { id, work, reply } => {
+                Input::Work { id, work: Work { key: Some(Key::from("another key")), ..work }, reply }
+            }
+            other => other,
+        };
+        rig.engine.round([other]);
+        assert_eq!(rig.commands(), ["apply 5"]);
+        assert!(!runs(&mut rig, 2, 1.2));
+        let end = rig.value(5, RunEnd::Done(vec![]));
+        rig.engine.round([end]);
+        rig.answers();
+        assert!(runs(&mut rig, 3, 0.0));
+    });
+}
+
+/// The window ends while the first try still runs, and another waits for what that makes.
+#[test]
+fn a_try_that_waits_for_a_run_as_the_window_ends_is_served_by_it() {
+    paused(async {
+        let mut rig = Rig::with(&window(1));
+        let first = sign(&rig, 1, 0.0);
+        rig.engine.round([first]);
+        rig.until(1.05).await;
+        let again = sign(&rig, 2, 0.0);
+        rig.engine.round([again]);
+        assert_eq!(rig.commands(), ["apply 1"]);
+        rig.until(1.3).await;
+        let end = rig.value(1, RunEnd::Done(vec![7]));
+        rig.engine.round([end]);
+        let mut answers = rig.answers();
+        answers.sort_by_key(|(id, _)| *id);
+        assert_eq!(answers, [(1, served(&[7])), (2, served(&[7]))]);
+        assert!(rig.commands().is_empty());
+        assert!(rig.engine.followers.is_empty());
+    });
+}
--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -393,7 +393,7 @@
     }
 }
 
-fn longest(settings: &Settings, time: impl Fn(&Class) -> f64) -> f64 {
+pub(super) fn longest(settings: &Settings, time: impl Fn(&Class) -> f64) -> f64 {
     settings.classes.iter().map(time).fold(0.0, f64::max)
 }
 
