Keep the grace that was in force when the notice to leave came

Seen: the notice waits in the engine's queue (server.rs sends it there), settings overtake it (orders go first, engine.rs `run`), and the engine counted the grace from the notice with the settings that came after it: with a longer grace there, a request that came after the grace ran. Settings that are taken up once the nodo leaves now keep the grace (engine/settings.rs).

Ruled out: settings that come when the notice has been read move neither the engine's end of the grace nor the module's, and `closed` stays reported (second test; seen to fail with `report` saying open: "at 1 s, left: Some(Open), right: Some(Closed)").

Without the guard: the_grace_is_the_one_in_force_when_the_notice_came, "assertion failed: matches!(rig.answers()[..], [(2, Answer::Refused { .. })])".

--- a/crates/node/src/engine/settings.rs
+++ b/crates/node/src/engine/settings.rs
@@ -18,8 +18,12 @@
         let open = |place| self.requests.values().any(|entry| entry.class == place);
         // One that was named until now may be that of a request which was read and is not here yet.
         let free = |place| !self.names.uses(place) && !open(place);
-        let (settings, names) = merge(&self.settings, facts.settings.clone(), facts.names.clone(), free)
+        let (mut settings, names) = merge(&self.settings, facts.settings.clone(), facts.names.clone(), free)
             .map_err(|problem| format!("settings.{problem}"))?;
+        // Guards against a notice to leave that waits behind much else: the grace is the one in force when it came.
+        if self.ways.desk.leaves.get() {
+            settings.drain_grace = self.settings.drain_grace;
+        }
         self.lengthen_windows(&settings, &names);
         self.classes = settings.classes.iter().map(|class| interpreter::quoted(&class.name)).collect();
         self.ways.desk.counts.borrow_mut().name(names.classes());
--- a/crates/node/src/engine/tests/reload.rs
+++ b/crates/node/src/engine/tests/reload.rs
@@ -201,3 +201,49 @@
         assert!(rig.engine.followers.is_empty());
     });
 }
+
+/// The notice to leave waits behind a full queue, and settings with a longer grace are taken up before it is read.
+#[test]
+fn the_grace_is_the_one_in_force_when_the_notice_came() {
+    paused(async {
+        let mut rig = Rig::new();
+        let told = Instant::now();
+        rig.engine.ways.desk.leaves.set(true);
+        reload(&mut rig, &changed("\"drainGraceS\":2", "\"drainGraceS\":60"));
+        rig.engine.round([Input::Leave { told }]);
+        rig.until(1.5).await;
+        let within = rig.work(1, 0, 0.0);
+        rig.engine.round([within]);
+        assert_eq!(rig.commands(), ["apply 1"]);
+        rig.until(2.1).await;
+        let after = rig.work(2, 0, 0.0);
+        rig.engine.round([after]);
+        assert_eq!(rig.commands(), [] as [&str; 0], "it came after the grace");
+        assert!(matches!(rig.answers()[..], [(2, Answer::Refused { .. })]));
+    });
+}
+
+/// Settings are taken up during the grace and after it: what runs is answered once, nothing new runs, and `closed` stays reported.
+#[test]
+fn settings_that_change_as_the_nodo_leaves_change_nothing_of_that() {
+    paused(async {
+        let mut rig = Rig::new();
+        let first = rig.work(1, 0, 0.0);
+        rig.engine.round([first]);
+        rig.engine.ways.desk.leaves.set(true);
+        rig.engine.round([Input::Leave { told: Instant::now() }]);
+        for (at, grace) in [(1.0, 60), (2.5, 60), (2.6, 1)] {
+            rig.until(at).await;
+            reload(&mut rig, &changed("\"drainGraceS\":2", &format!("\"drainGraceS\":{grace}")));
+            assert_eq!(*rig.mode.borrow(), Some(Mode::Closed), "at {at} s");
+            assert!(!rig.engine.in_health());
+        }
+        let after = rig.work(2, 0, 0.0);
+        rig.engine.round([after]);
+        rig.until(4.0).await;
+        assert_eq!(rig.commands(), ["apply 1", "break 1"]);
+        let answers = rig.answers();
+        assert_eq!(answers.iter().filter(|(id, _)| *id == 1).count(), 1, "{answers:?}");
+        assert!(answers.iter().any(|(id, answer)| *id == 2 && matches!(answer, Answer::Refused { .. })));
+    });
+}
