Keep a class's place while requests read by older settings are on their way

Seen: a request was read and waited in the engine's queue while two changes of the settings overtook it (orders go first). Its class went with the first, and the second gave the place to another class, as the engine asked only whether the present names use a place (engine/settings.rs, `free`): the request ran as one of that other class. A try that waited for the fleet (engine/handover.rs, `waiting`) held no place either. Places whose name a change took now stay until all that was queued before it has been taken in, which a message that the engine sends itself tells.

Ruled out: open requests of a class that goes, or whose figures or effect change, keep their place and figures (test for held, running, at a call and running though answered); keys of a class that was not keyed for a while are still known.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -176,6 +176,11 @@
     names: Names,
     /// Their names, as the interpreter is told them.
     classes: Vec<Rc<str>>,
+    /// Changes of the settings so far.
+    changes: u64,
+    /// Places of classes that a change took the name from, with its number, while requests that name them may be on their way
+    /// here. At most one for each place.
+    retired: Vec<(u64, usize)>,
     stop: Duration,
     ways: Ways,
     /// The module, from when the interpreter is up: only then it is known how warm that is.
@@ -235,6 +240,8 @@
             settings,
             names: config.names.clone(),
             classes: config.settings.classes.iter().map(|c| interpreter::quoted(&c.name)).collect(),
+            changes: 0,
+            retired: Vec::new(),
             stop: config.stop,
             ways,
             module: None,
@@ -354,6 +361,7 @@
             Input::Check { reply } => {
                 reply.send(Reply::new(Answer::Health { good: self.in_health() }, self.say));
             }
+            Input::SettingsReached { change } => self.retired.retain(|(since, _)| *since > change),
             Input::Gone { id } => self.gone(id),
             Input::Heard(message) => self.heard(message),
             Input::LinkUp => self.link_up = true,
--- a/crates/node/src/engine/handover.rs
+++ b/crates/node/src/engine/handover.rs
@@ -120,6 +120,11 @@
         self.waiting.len() + self.runs.values().filter(|run| here || !run.here).count()
     }
 
+    /// Whether a try of the class at this place waits outside the module.
+    pub(super) fn waits_in(&self, place: usize) -> bool {
+        self.waiting.values().any(|waits| waits.work.class == place)
+    }
+
     /// The process takes part as this start from now on.
     fn takes_part(&mut self, me: &Holder) {
         match &mut self.own {
--- a/crates/node/src/engine/input.rs
+++ b/crates/node/src/engine/input.rs
@@ -25,6 +25,11 @@
         /// Where its reply goes.
         reply: ReplyTo,
     },
+    /// All that was read by the settings before so many changes of them has come.
+    SettingsReached {
+        /// The number of changes.
+        change: u64,
+    },
     /// A health check was read.
     Check {
         /// Where its reply goes.
--- a/crates/node/src/engine/tests/reload.rs
+++ b/crates/node/src/engine/tests/reload.rs
@@ -247,3 +247,79 @@
         assert!(answers.iter().any(|(id, answer)| *id == 2 && matches!(answer, Answer::Refused { .. })));
     });
 }
+
+/// A request was read, and two changes of the settings overtake it on its way to the engine. Its class has gone with the first, and
+/// the second brings one that has no place yet.
+#[test]
+fn a_request_that_two_changes_of_the_settings_overtake_keeps_its_class() {
+    paused(async {
+        let mut rig = Rig::new();
+        let on_its_way = rig.work(1, 0, 0.0);
+        reload(&mut rig, &changed("\"read\"", "\"look\""));
+        reload(&mut rig, &changed("\"read\"", "\"find\""));
+        rig.engine.round([on_its_way]);
+        let command = std::iter::from_fn(|| rig.commands.try_recv().ok())
+            .find_map(|command| if let Command::Apply { class, .. } = command { Some(class) } else { None });
+        assert_eq!(command.as_deref(), Some("\"read\""));
+        // Places are used again once nothing can be on its way to them.
+        rig.until(0.1).await;
+        reload(&mut rig, &changed("\"read\"", "\"seek\""));
+        let names: Vec<_> = rig.engine.settings.classes.iter().map(|class| class.name.as_str()).collect();
+        assert_eq!(names, ["read", "sign", "seek", "find"]);
+    });
+}
+
+/// The settings without a class, or with another effect or other figures of it, while its requests are held, run, are at a call, and
+/// run though they were answered: each keeps the figures that it came with, and is answered once.
+#[test]
+fn open_requests_of_a_class_that_goes_or_changes_end_as_they_came() {
+    let effect = |to: &str| changed("\"semantics\":\"free\"", &format!("\"semantics\":\"{to}\""));
+    let keyed = changed("\"semantics\":\"free\"", "\"semantics\":\"guarded\",\"windowS\":9");
+    let figures = changed(
+        "\"targetS\":2,\"deadlineS\":4,\"semantics\":\"free\"",
+        "\"targetS\":9,\"deadlineS\":9,\"semantics\":\"free\"",
+    );
+    let gone = changed("\"read\"", "\"look\"");
+    for text in [gone, figures, keyed, effect("single_shot")] {
+        paused(async {
+            let mut rig = Rig::with(&SETTINGS.replace(r#""nCores":1"#, r#""nCores":2"#));
+            let at_call = rig.work(1, 0, 1.9);
+            rig.engine.round([at_call]);
+            let wait = rig.wait(1);
+            rig.engine.round([wait]);
+            let mut call = rig.calls.try_recv().expect("a call");
+            let left = rig.work(2, 0, 0.0);
+            rig.engine.round([left]);
+            assert_eq!(rig.commands(), ["apply 1", "apply 2"]);
+            // Its caller leaves as the change comes, and it runs on.
+            rig.engine.round([Input::Gone { id: RequestId(2) }]);
+            let others = [rig.work(3, 0, 1.0), rig.work(4, 0, 1.0)];
+            rig.engine.round(others);
+            reload(&mut rig, &text.replace(r#""nCores":1"#, r#""nCores":2"#));
+            assert!(call.given_up.try_recv().is_err());
+            rig.until(3.0).await;
+            let mut answered: Vec<_> = rig.answers().into_iter().map(|(id, _)| id).collect();
+            answered.sort_unstable();
+            assert_eq!(answered, [1, 2, 3, 4], "in the time that they came with: {text}");
+            let ends = [1, 2, 3, 4].map(|id| rig.value(id, RunEnd::Stopped));
+            rig.engine.round(ends);
+            assert!(rig.engine.requests.is_empty() && rig.engine.by_uid.is_empty());
+            let counts = rig.engine.ways.desk.counts.borrow();
+            assert_eq!((counts.current(), counts.agree(), counts.of("read").taken), (0, true, 4));
+        });
+    }
+}
+
+/// The class stops being a keyed one and is one again: what ran is still known, under the key that it had.
+#[test]
+fn a_key_is_known_when_its_class_is_keyed_again() {
+    paused(async {
+        let mut rig = Rig::new();
+        run_first(&mut rig);
+        reload(&mut rig, &changed("\"guarded\",\"windowS\":60", "\"free\""));
+        reload(&mut rig, &changed("\"guarded\",\"windowS\":60", "\"single_shot\""));
+        reload(&mut rig, SETTINGS);
+        rig.until(59.0).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+    });
+}
