--- /dev/null
+++ b/crates/node/tests/crossing_reload.rs
@@ -0,0 +1,195 @@
+//! Signals that cross: SIGHUP and SIGTERM reach the program in one instant, as it was stopped when they were sent.
+
+use jaspershunt_stand_ins::balancer::Balancer;
+use jaspershunt_stand_ins::process::Process;
+use jaspershunt_stand_ins::starts::{Nodo, Start, keyed};
+use std::path::Path;
+use std::time::Duration;
+use tokio::runtime::Builder;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_jaspershunt");
+const LOOK_EVERY: Duration = Duration::from_millis(2);
+
+fn local(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        timeout(Duration::from_secs(60), test).await.expect("the test hangs");
+    });
+}
+
+async fn nodo(name: &str) -> Nodo {
+    Nodo::new(Path::new(PROGRAM), name).await.unwrap()
+}
+
+/// What the configuration of a start is replaced by.
+#[derive(Clone, Copy, Debug)]
+enum Edit {
+    /// A longer window.
+    Good,
+    /// A file that ends too early.
+    Bad,
+}
+
+/// Replaces the configuration of the start with this number.
+fn edit(site: &Nodo, start: usize, how: Edit) {
+    let path = site.folder.join(format!("config{start}.json"));
+    let text = std::fs::read_to_string(&path).unwrap();
+    let edited = match how {
+        Edit::Good => text.replace("\"windowS\":30", "\"windowS\":40"),
+        Edit::Bad => text[..text.len() / 2].to_string(),
+    };
+    assert_ne!(edited, text);
+    std::fs::write(&path, edited).unwrap();
+}
+
+/// Signals that come in one instant.
+fn at_once(process: &Process, signals: &[fn(&Process)]) {
+    process.freeze();
+    signals.iter().for_each(|signal| signal(process));
+    process.thaw();
+}
+
+/// What a start says of the configurations that it has read.
+async fn counts(start: &Start) -> String {
+    let info = start.call("INFO").await;
+    let from = info.find("\"conf_loaded\"").expect("counts");
+    let to = info[from..].find('}').expect("an end");
+    info[from..from + to].to_string()
+}
+
+async fn until_counts(start: &Start, expected: &str) {
+    while counts(start).await != expected {
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+/// The configuration is read again as the nodo is told to leave, in either order, while a keyed request runs: that is answered once,
+/// `closed` is the last that the directory hears, and the program ends well.
+#[test]
+fn a_reload_and_a_notice_to_leave_may_come_in_one_instant() {
+    let orders: [[fn(&Process); 2]; 2] =
+        [[Process::hang_up, Process::terminate], [Process::terminate, Process::hang_up]];
+    for (n, signals) in orders.into_iter().enumerate() {
+        for how in [Edit::Good, Edit::Bad] {
+            local(async {
+                let mut site = nodo(&format!("signals-{n}-{how:?}")).await;
+                site.alone = true;
+                let mut start = site.start().await.unwrap();
+                let balancer = Balancer::new(site.address, 1, None);
+                let runs = spawn_local({
+                    let balancer = balancer.clone();
+                    async move { balancer.send(&keyed("slow", "k", false), PATIENCE).await }
+                });
+                while site.runs(b"k") == 0 {
+                    sleep(LOOK_EVERY).await;
+                }
+                edit(&site, 1, how);
+                at_once(&start.process, &signals);
+                assert_eq!(runs.await.unwrap().status, 200, "{n} {how:?}{}", site.logs());
+                assert!(start.process.ends().await, "it fails at its end");
+                assert_eq!(site.runs(b"k"), 1);
+                assert_eq!(site.directory.mode().as_deref(), Some("closed"));
+                let said = match how {
+                    Edit::Good => "new settings are in use",
+                    Edit::Bad => "the one before stays in force",
+                };
+                assert_eq!(site.logs().matches(said).count(), 1, "{}", site.logs());
+            });
+        }
+    }
+}
+
+/// A good configuration and then a bad one, and the other way round, each as the one before is being taken up: the one in force is
+/// whole, and each that was read is counted.
+#[test]
+fn a_good_and_a_bad_configuration_may_follow_each_other() {
+    for (first, second, expected) in [
+        (Edit::Good, Edit::Bad, "\"conf_loaded\":1,\"conf_invalid\":1"),
+        (Edit::Bad, Edit::Good, "\"conf_loaded\":1,\"conf_invalid\":1"),
+    ] {
+        local(async {
+            let mut site = nodo(&format!("follows-{first:?}")).await;
+            let start = site.start().await.unwrap();
+            let path = site.folder.join("config1.json");
+            let whole = std::fs::read_to_string(&path).unwrap();
+            edit(&site, 1, first);
+            start.process.hang_up();
+            // The first has been read from here on; whether it is in force yet is open.
+            while counts(&start).await == "\"conf_loaded\":0,\"conf_invalid\":0" {
+                sleep(LOOK_EVERY).await;
+            }
+            std::fs::write(&path, whole).unwrap();
+            edit(&site, 1, second);
+            start.process.hang_up();
+            until_counts(&start, expected).await;
+            let balancer = Balancer::new(site.address, 1, None);
+            assert_eq!(balancer.send(&keyed("sign", "k", false), PATIENCE).await.status, 200);
+            assert_eq!(balancer.send(&keyed("sign", "k", true), PATIENCE).await.status, 200);
+            assert_eq!(site.runs(b"k"), 1);
+        });
+    }
+}
+
+/// Two signals in one instant are one or two readings of the same file, and no more.
+#[test]
+fn two_signals_to_read_the_configuration_may_come_in_one_instant() {
+    local(async {
+        let mut site = nodo("twice").await;
+        let start = site.start().await.unwrap();
+        edit(&site, 1, Edit::Good);
+        at_once(&start.process, &[Process::hang_up, Process::hang_up]);
+        let all = ["\"conf_loaded\":1,\"conf_invalid\":0", "\"conf_loaded\":2,\"conf_invalid\":0"];
+        while !all.contains(&counts(&start).await.as_str()) {
+            sleep(LOOK_EVERY).await;
+        }
+        assert_eq!(site.logs().matches("new settings are in use").count(), 1, "{}", site.logs());
+    });
+}
+
+/// Both processes of an upgrade read their configuration in the instant in which both have tries of one key: it runs once, and
+/// all are told what that made.
+#[test]
+fn both_processes_of_an_upgrade_may_read_their_configuration_with_a_run_in_hand() {
+    local(async {
+        let mut site = nodo("upgraded").await;
+        let mut earlier = site.start().await.unwrap();
+        let send = |number, resent| {
+            let balancer = Balancer::new(site.address, number, None);
+            spawn_local(async move { balancer.send(&keyed("slow", "k", resent), PATIENCE).await })
+        };
+        let first = send(1, false);
+        while site.runs(b"k") == 0 {
+            sleep(LOOK_EVERY).await;
+        }
+        let again = send(2, true);
+        let later = site.start().await.unwrap();
+        edit(&site, 1, Edit::Good);
+        edit(&site, 2, Edit::Good);
+        for start in [&earlier, &later] {
+            start.process.freeze();
+            start.process.hang_up();
+        }
+        let balancer = Balancer::new(site.address, 3, None);
+        let third = spawn_local(async move { balancer.send(&keyed("slow", "k", true), PATIENCE).await });
+        for start in [&later, &earlier] {
+            start.process.thaw();
+        }
+        for start in [&earlier, &later] {
+            until_counts(start, "\"conf_loaded\":1,\"conf_invalid\":0").await;
+        }
+        let bodies = [first.await.unwrap(), again.await.unwrap(), third.await.unwrap()];
+        assert!(
+            bodies.iter().all(|answer| answer.status == 200 && answer.body == bodies[0].body),
+            "{bodies:?}"
+        );
+        earlier.process.terminate();
+        assert!(earlier.process.ends().await);
+        let balancer = Balancer::new(site.address, 4, None);
+        assert_eq!(balancer.send(&keyed("slow", "k", true), PATIENCE).await.status, 200);
+        assert_eq!(site.runs(b"k"), 1);
+        assert_eq!(site.directory.mode().as_deref(), Some("open"));
+    });
+}
