--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -451,7 +451,8 @@
             if no_more && !owed {
                 return Ok(End::Finished);
             }
-            self.slot.quiet.set(!owed && !(self.slot.used.get() && self.partial()));
+            let half_read = self.slot.used.get() && self.partial();
+            self.slot.quiet.set(!(owed || half_read));
             let (passing, last_call) = (idle.borrow().passing, idle.borrow().last_call);
             // Nothing is open, and what was read goes along: no request meets a closed connection.
             if passing && !owed && self.requests.is_empty() && !self.read_closed && !self.closing {
