Say why the short deadlines of the invented deployments are not shorter

And no test here bounds what calls state by the deadline of their class: tests/peers.rs looks at the form of that field only.

--- a/crates/node/tests/common/invented.rs
+++ b/crates/node/tests/common/invented.rs
@@ -2,7 +2,8 @@
 
 use jaspershunt_stand_ins::balancer::{Answer, Request};
 
-/// Deadlines are either under this or far over it, so that no busy machine makes one look like the other.
+/// Deadlines are either under this or far over it, so that no busy machine makes one look like the other. Those under it are 0.7 s and
+/// more: a class that has been seen to take about its deadline is turned away as hopeless.
 const SHORT_MS: u64 = 2_000;
 
 pub struct Class {
