Drop readings of gauges that were asked for before others were in force

Seen in a reading: a TOP that is asked for before a reload and answered after it was read in the order of the new meters (engine/runs.rs, Message::Gauges). The wakes that wait for it now go on without readings. Test: readings_asked_for_before_other_gauges_are_in_force_are_not_taken_for_those.

--- a/crates/node/src/engine/settings.rs
+++ b/crates/node/src/engine/settings.rs
@@ -4,7 +4,7 @@
 use crate::config::Facts;
 use crate::engine::input::Input;
 use crate::interpreter;
-use jaspershunt::Event;
+use jaspershunt::{Event, Gauges};
 use jaspershunt_settings::{Names, merge};
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,6 +25,10 @@
         if self.ways.desk.leaves.get() {
             settings.drain_grace = self.settings.drain_grace;
         }
+        // Guards against readings that are asked for in one order and read in another: these wakes go without them.
+        if names.gauges != self.names.gauges {
+            self.wake(Gauges::default());
+        }
         self.lengthen_windows(&settings, &names);
         self.retire_places(&names);
         self.classes = settings.classes.iter().map(|class| interpreter::quoted(&class.name)).collect();
@@ -34,6 +38,7 @@
         self.ways.facts.send_replace(Rc::new(Facts { settings, names }));
         Ok(())
     }
+
     /// Whether requests of the class at this place are open, wait for the fleet, or may be on their way here.
     fn is_open(&self, place: usize) -> bool {
         self.requests.values().any(|entry| entry.class == place)
--- a/crates/node/src/engine/tests/reload.rs
+++ b/crates/node/src/engine/tests/reload.rs
@@ -323,3 +323,21 @@
         assert!(!runs(&mut rig, 2, 0.0));
     });
 }
+
+/// The gauges are asked for by the settings before, and their readings come once other gauges, or another order, are in force.
+#[test]
+fn readings_asked_for_before_other_gauges_are_in_force_are_not_taken_for_those() {
+    paused(async {
+        let mut rig = Rig::new();
+        let work = rig.work(1, 0, 0.0);
+        rig.engine.round([work]);
+        rig.commands();
+        rig.engine.round([Input::Woke { token: 0 }]);
+        let Ok(Command::Gauges { tag }) = rig.commands.try_recv() else { panic!("no question") };
+        reload(&mut rig, &changed(r#""meters":["on_cores"]"#, r#""meters":["heap_share"]"#));
+        assert!(rig.engine.wakes.is_empty(), "the wake goes on without readings");
+        let before = rig.engine.tag;
+        rig.engine.round([Input::Heard(Message::Gauges { tag, vouches: 1, readings: vec![Some(1.0)] })]);
+        assert_eq!(rig.engine.tag, before, "an answer that is taken ends the question");
+    });
+}
