Let no further try that came after the grace take the place of one that waits

It is refused now, and the first keeps its place. Without it the new test says left: [3], right: [4].

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -320,13 +320,12 @@
         }
         self.ledger.insert(Live::new(r.clone(), self.now, aim, last_use, self.lane_of(r)));
         self.bound_by_leaving(r.id);
-        let repeated = r.repeats.filter(|_| repeats);
-        if let Some(first) = repeated.filter(|first| !arrives(later, *first)) {
+        let late = self.leaving.as_ref().is_some_and(|l| arrived > l.grace_until - self.set.tick);
+        let repeated = r.repeats.filter(|first| repeats && !arrives(later, *first));
+        if let Some(first) = repeated.filter(|first| !(late && keyed && self.waits(*first))) {
             self.repeat(r.id, first, out);
-        } else if self.memory_left() < if keyed { self.set.key_kb } else { 0.0 }
-            || self.leaving.as_ref().is_some_and(|l| arrived > l.grace_until - self.set.tick)
-        {
-            // It came after the grace, or has no room for itself or its key: it must not run.
+        } else if late || self.memory_left() < if keyed { self.set.key_kb } else { 0.0 } {
+            // It came after the grace, be it in the place of one that waits, or has no room: it must not run.
             self.refuse(r.id, self.set.max_stay_away, false, out);
         } else {
             self.keep(r.id, out);
@@ -357,13 +356,15 @@
         self.ledger.keys.insert(id, until);
     }
 
-    /// A try of a request that is known here. If no try of it ran and the first still waits, the newer try
-    /// takes its place: the caller has most likely given the first one up. Else it gets what the first one
-    /// gets.
+    fn waits(&self, id: RequestId) -> bool {
+        self.ledger.live.get(&id).is_some_and(|l| l.stage == Stage::Held && !l.ran)
+    }
+
+    /// A try of a request that is known here. If no try of it ran and the first still waits, the newer one takes
+    /// its place: the caller has most likely given the first one up. Else it gets what the first one gets.
     fn repeat(&mut self, id: RequestId, first: RequestId, out: &mut Vec<Action>) {
-        let waits = self.ledger.live.get(&first).is_some_and(|l| l.stage == Stage::Held && !l.ran);
         let keyed = matches!(self.set.classes[self.ledger.live[&id].request.class].repeat, Repeat::Keyed(_));
-        if waits && keyed {
+        if self.waits(first) && keyed {
             self.keep(id, out);
             self.ledger.keys.forget(first);
             // No advice to keep away: the newer try of the same request is here.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -208,6 +208,18 @@
     assert_eq!(runs(&server.step(12.2, &[Event::Arrived(early)])), [3]);
 }
 
+#[test]
+fn a_further_try_that_came_past_the_grace_takes_no_place_of_one_that_waits() {
+    let mut server = Server::new(settings());
+    server.step(0.1, &[Event::Leave { within: 5.0 }]);
+    // Both cores are busy, so that the keyed try waits.
+    server.step(1.9, &[arrived(1, 0, 1), arrived(2, 0, 2), arrived(3, 1, 3)]);
+    let actions = server.step(2.5, &[repeated(4, 1, 3)]);
+    assert_eq!(refused(&actions), [4], "it came past the grace");
+    let actions = server.step(2.6, &[ended(1, Outcome::Done)]);
+    assert_eq!(runs(&actions), [3], "the one that waits keeps its place");
+}
+
 #[test]
 fn all_is_answered_before_the_stop() {
     let mut server = Server::new(settings());
