--- a/src/logic.rs
+++ b/src/logic.rs
@@ -360,7 +360,7 @@
         self.ledger.live.get(&id).is_some_and(|l| l.stage == Stage::Held && !l.ran)
     }
 
-    /// A try of a request that is known here. If no try of it ran and the first still waits, the newer one takes
+    /// After the grace (be it a further try of one that waits), or without room: it must not run.
     /// its place: the caller has most likely given the first one up. Else it gets what the first one gets.
     fn repeat(&mut self, id: RequestId, first: RequestId, out: &mut Vec<Action>) {
         let keyed = matches!(self.set.classes[self.ledger.live[&id].request.class].repeat, Repeat::Keyed(_));
