--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 use tinyjson::JsonValue;
 
-/// What the names of all variables begin with.
+/// What the names of all variables begin with, and the one that names the file.
 const VARIABLES: &str = "NODE_";
+const CONFIG: &str = "NODE_CONFIG";
 /// Time from the notice to leave to the kill, where none is given.
 const STOP_MS: f64 = 3000.0;
 /// The limits of a scored day, where none are given.
@@ -117,7 +118,8 @@
 
     /// The same, told of a configuration from this file. What is wrong with a variable is not in it.
     fn in_file(self, path: &str) -> ConfigError {
-        let file = (!self.problem.starts_with(VARIABLES)).then(|| path.to_string());
+        let variable = self.problem.starts_with(VARIABLES) && !self.problem.starts_with(CONFIG);
+        let file = (!variable).then(|| path.to_string());
         ConfigError { file, ..self }
     }
 }
@@ -143,13 +145,13 @@
 /// # Errors
 /// The key or variable that is missing or wrong.
 pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-    let Some(path) = variable("NODE_CONFIG") else { return wrong("NODE_CONFIG", "is not set") };
+    let Some(path) = variable(CONFIG) else { return wrong(CONFIG, "is not set") };
     match std::fs::read_to_string(&path) {
         Ok(text) => match read(&text, variable) {
             Ok(config) => Ok(Config { path: Some(path.into()), ..config }),
             Err(e) => Err(e.in_file(&path)),
         },
-        Err(e) => wrong("NODE_CONFIG", format_args!("names {path}, which cannot be read: {e}")),
+        Err(e) => wrong(CONFIG, format_args!("names {path}, which cannot be read: {e}")),
     }
 }
 
@@ -160,10 +162,10 @@
 pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
     let value: JsonValue = match text.parse() {
         Ok(value) => value,
-        Err(e) => return wrong("the configuration", format_args!("is not JSON: {e}")),
+        Err(e) => return wrong(CONFIG, format_args!("names a file that is not JSON: {e}")),
     };
     let Some(object) = value.get::<HashMap<String, JsonValue>>() else {
-        return wrong("the configuration", "must be an object");
+        return wrong(CONFIG, "must hold an object");
     };
     let limits = match object.get("limits").filter(|v| !v.is_null()) {
         None => HashMap::new(),
