Try a class on an idle server though its mean says that none can end in time

Seen: after one run of 3 s with an aim of 2 s, 'none of 60 requests ran on an idle server' (tests/learned_cost.rs): in_time refuses by the learned mean, and the mean is learned by runs alone. Mended: where not even a start at the arrival would do by the mean, one is tried while nothing has started.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -348,9 +348,7 @@
     /// Remembers a keyed request for its window from its arrival, so that repeats of it are known.
     fn keep(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(l) = self.ledger.live.get(&id) else { return };
-        let Repeat::Keyed(window) = self.set.classes[l.request.class].repeat else {
-            return;
-        };
+        let Repeat::Keyed(window) = self.set.classes[l.request.class].repeat else { return };
         let until = l.arrived + window + ANSWER_AHEAD;
         out.push(Action::Keep { id, lasting: (until - self.now).max(0.0) });
         self.ledger.keys.insert(id, until);
@@ -632,12 +630,14 @@
         self.order = order.into_iter().map(|(_, lane)| lane).collect();
     }
 
-    /// Whether a start now would be likely to end in time, as the lane counts it.
+    /// Whether a start then would be likely to end in time, as the lane counts it. Guards against a mean beyond what any
+    /// start allows, which would stay as nothing runs: then one is tried while nothing else has started.
     fn in_time(&self, l: &Live, start: f64) -> bool {
         let parked = self.learned[l.request.class].parked.unwrap_or(0.0);
         let needs = self.expected(l.request.class, l.request.cost_hint) + parked;
         let end = if l.lane.is_multiple_of(2) { l.aim } else { l.last_use };
-        start + START_MARGIN * needs <= end
+        let tried = l.arrived + START_MARGIN * needs > end && start < end && self.ledger.started() == 0.0;
+        tried || start + START_MARGIN * needs <= end
     }
 
     /// The next request to start, best lane first; on the way, what can no longer earn is turned away.
