--- a/src/logic.rs
+++ b/src/logic.rs
@@ -630,8 +630,8 @@
         self.order = order.into_iter().map(|(_, lane)| lane).collect();
     }
 
-    /// Whether a start then would be likely to end in time, as the lane counts it. Guards against a mean beyond what any
-    /// start allows, which would stay as nothing runs: then one is tried while nothing else has started.
+    /// Whether a start then would be likely to end in time. Guards against a mean beyond what any start
+    /// allows, which would stay as nothing runs: then one is tried while nothing else has started.
     fn in_time(&self, l: &Live, start: f64) -> bool {
         let parked = self.learned[l.request.class].parked.unwrap_or(0.0);
         let needs = self.expected(l.request.class, l.request.cost_hint) + parked;
