--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -301,6 +301,8 @@
     Finished,
     /// It was at rest, and is closed for that.
     Idle,
+    /// It makes room for another one, and at once: many may wait for that.
+    Replaced,
     /// It goes to a later start.
     Passed,
     /// The peer has gone without waiting for its answers.
@@ -393,7 +395,7 @@
         // What is left of its time, it cannot make room for another one.
         self.slot.quiet.set(false);
         match end {
-            End::Gone => {}
+            End::Gone | End::Replaced => {}
             _ if self.read_closed => {}
             End::Idle => self.linger().await,
             _ if self.closing => self.linger().await,
@@ -510,7 +512,7 @@
                     if !owed && (useless || self.may_close()) {
                         self.close_unfinished();
                         self.write()?;
-                        return Ok(End::Idle);
+                        return Ok(End::Replaced);
                     }
                     self.slot.asked.set(false);
                     self.front.ended.notify_waiters();
--- a/crates/node/tests/nodo.rs
+++ b/crates/node/tests/nodo.rs
@@ -440,8 +440,6 @@
         let mut late = alone.connect().await;
         alone.use_once(&mut late).await;
         assert_eq!(silent.remove(0).record().await, None, "the oldest that brought nothing goes first");
-        // One that was shut counts until its peer has closed too, or a request could no longer cross the close.
-        tokio::time::sleep(Duration::from_millis(60)).await;
         assert_eq!(alone.front.open.get(), most - 1);
         // With no such one left, the one that has been idle for longest goes, and never one that waits for its answer.
         for peer in &mut silent {
