--- a/crates/node/tests/crossing_connections.rs
+++ b/crates/node/tests/crossing_connections.rs
@@ -555,3 +555,37 @@
         assert!(answered > 8);
     });
 }
+
+#[test]
+fn a_reply_half_written_is_finished_before_its_connection_goes_to_a_later_process() {
+    local(async {
+        const ANSWERS: u16 = 8;
+        let (listener, address) = listener().await;
+        SockRef::from(&listener).set_send_buffer_size(4096).unwrap();
+        let mut server = Server::on(listener, address, |_| {});
+        let (later, mut passed) = mpsc::channel(1);
+        server.front.hand_to(Some(later));
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(2048).unwrap();
+        let mut slow = Peer::new(socket.connect(address).await.unwrap());
+        let result = vec![b'x'; 4000];
+        for n in 1..=ANSWERS {
+            slow.send(request(n, u64::from(n), "read", &[], b"body")).await;
+            served(server.handed_over().await, &result);
+        }
+        // What the system takes of the answers is written by now, and the rest waits for the peer.
+        for _ in 0..POLLS {
+            yield_now().await;
+        }
+        server.idle.send_modify(|idle| (idle.passing, idle.last_call) = (true, true));
+        for _ in 0..POLLS {
+            yield_now().await;
+        }
+        assert!(passed.try_recv().is_err(), "it was passed on with an answer half written");
+        for _ in 0..ANSWERS {
+            let (_, text, _) = slow.answer().await.expect("a whole answer");
+            assert!(text.ends_with(std::str::from_utf8(&result).unwrap()));
+        }
+        assert!(passed.recv().await.is_some(), "and then it is passed on");
+    });
+}
