--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -14,7 +14,7 @@
 use crate::keys::tape::Taped as Keys;
 use crate::log;
 use crate::request::{Answer, Key, Label, Reply, ReplyTo};
-use jaspershunt::{Action, Controller, Event, Gauges, RequestId, Settings};
+use jaspershunt::{Action, Controller, Event, Gauges, RequestId, Say, Settings};
 use jaspershunt_capture::tap::Reason;
 use jaspershunt_dependencies::By;
 use jaspershunt_routes::Snapshot;
@@ -176,6 +176,11 @@
     names: Names,
     /// Their names, as the interpreter is told them.
     classes: Vec<Rc<str>>,
+    /// Changes of the settings so far.
+    changes: u64,
+    /// Places of classes that a change took the name from, with its number, while requests that name them may be on their way
+    /// here. At most one for each place.
+    retired: Vec<(u64, usize)>,
     stop: Duration,
     ways: Ways,
     /// The module, from when the interpreter is up: only then it is known how warm that is.
@@ -235,6 +240,8 @@
             settings,
             names: config.names.clone(),
             classes: config.settings.classes.iter().map(|c| interpreter::quoted(&c.name)).collect(),
+            changes: 0,
+            retired: Vec::new(),
             stop: config.stop,
             ways,
             module: None,
@@ -314,7 +321,7 @@
         // After all of the batch was read, before any of it can run: see `upgrade::claims`.
         self.look();
         self.begin_capture();
-        self.keys.expire(self.now);
+        self.expire_keys();
         for input in batch {
             self.take(input);
         }
@@ -352,8 +359,9 @@
         match input {
             Input::Work { id, work, reply } => self.arrive(id, work, reply),
             Input::Check { reply } => {
-                reply.send(Reply::new(Answer::Health { good: self.in_health() }, self.say));
+                reply.send(Reply::new(Answer::Health { good: self.in_health() }, self.says()));
             }
+            Input::SettingsReached { change } => self.retired.retain(|(since, _)| *since > change),
             Input::Gone { id } => self.gone(id),
             Input::Heard(message) => self.heard(message),
             Input::LinkUp => self.link_up = true,
@@ -393,6 +401,11 @@
         }
     }
 
+    /// The free number for an answer. Settings that were read anew may have callers told nothing; the module then says no other.
+    fn says(&self) -> Option<f64> {
+        self.say.filter(|_| self.settings.say != Say::Nothing)
+    }
+
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Run(id) => self.start_run(id),
--- a/crates/node/src/engine/arrivals.rs
+++ b/crates/node/src/engine/arrivals.rs
@@ -39,7 +39,7 @@
         if let Err((reply, answer)) = admitted {
             // It never reached the module, and is over.
             self.count_end(class, Some(&answer));
-            reply.send(Reply::new(answer, self.say));
+            reply.send(Reply::new(answer, self.says()));
         }
     }
 
@@ -121,7 +121,8 @@
                 key,
                 print(&self.settings.classes[work.class].name, &work.body),
                 id,
-                self.now,
+                // Guards against a try that came within the window and was read after it, behind much else.
+                arrived,
                 held,
             ) {
                 Ok(earlier) => repeats = earlier,
@@ -197,7 +198,7 @@
             how.into_iter().for_each(|how| self.ways.desk.tally.borrow_mut().ended(table, how));
         }
         self.count_end(class, (!left).then_some(&answer));
-        reply.send(Reply { answer, say: self.say, label });
+        reply.send(Reply { answer, say: self.says(), label });
         self.owed -= 1;
         self.let_go(id);
     }
--- a/crates/stand-ins/src/interpreter.rs
+++ b/crates/stand-ins/src/interpreter.rs
@@ -5,7 +5,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use serde_json::{Value, json};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +18,9 @@
 /// Notices that are kept for a new link.
 const KEPT_NOTICES: usize = 4000;
 
+/// A run whose body begins so does nothing, and ends with an error at [`Interpreter::fail`].
+pub const HELD: &[u8] = b"held";
+
 /// What a run of a class does.
 #[derive(Clone, Debug, Default)]
 pub struct Work {
@@ -90,6 +93,11 @@
     up: RefCell<Option<Instant>>,
     cold: bool,
     most_on_cores: RefCell<usize>,
+    /// How many have a core or wait for one, from each moment on at which that changed.
+    levels: RefCell<Vec<(Instant, usize)>>,
+    /// Bodies that begin with [`HELD`] and whose runs end.
+    failing: RefCell<BTreeSet<Vec<u8>>>,
+    fails: Notify,
 }
 
 /// An interpreter that listens.
@@ -122,6 +130,17 @@
         self.state.news.notify_waiters();
     }
 
+    /// Closes the present link; runs go on.
+    pub fn drop_link(&self) {
+        *self.state.link.borrow_mut() += 1;
+        self.state.news.notify_waiters();
+    }
+
+    /// Links that were taken so far, and breaks of them.
+    pub fn links(&self) -> u64 {
+        *self.state.link.borrow()
+    }
+
     /// The same, where runs that are told to stop do this.
     ///
     /// # Panics
@@ -147,6 +166,9 @@
             up: RefCell::new((!cold).then(Instant::now)),
             cold,
             most_on_cores: RefCell::new(0),
+            levels: RefCell::default(),
+            failing: RefCell::default(),
+            fails: Notify::new(),
         });
         let all = state.clone();
         spawn_local(async move {
@@ -176,11 +198,22 @@
         }
     }
 
+    /// Runs of this body, which begins with [`HELD`], end with an error from now on.
+    pub fn fail(&self, body: &[u8]) {
+        self.state.failing.borrow_mut().insert(body.to_vec());
+        self.state.fails.notify_waiters();
+    }
+
     /// The most runs that had a core or waited for one at a time.
     pub fn most_on_cores(&self) -> usize {
         *self.state.most_on_cores.borrow()
     }
 
+    /// How many runs had a core or waited for one, from each moment on at which that changed.
+    pub fn levels(&self) -> Vec<(Instant, usize)> {
+        self.state.levels.borrow().clone()
+    }
+
     /// All runs so far, in the order in which they began.
     pub fn runs(&self) -> std::cell::Ref<'_, Vec<Ran>> {
         self.state.runs.borrow()
@@ -323,7 +356,7 @@
         let mut runs = std::pin::pin!(run(&state, &uid, place));
         let (end, content) = loop {
             tokio::select! {
-                content = &mut runs => break ("OK", content),
+                ended = &mut runs => break ended,
                 () = stop.notified() => {}
             }
             // A request that is over ends its run, and so does an order to stop where nothing is paused.
@@ -352,12 +385,16 @@
     });
 }
 
-/// Does the work of a run; its result names what it got for each call, in order.
-async fn run(state: &State, uid: &str, place: usize) -> String {
+/// Does the work of a run; how it ended, and its result, which names what it got for each call, in order.
+async fn run(state: &State, uid: &str, place: usize) -> (&'static str, String) {
     let (class, body) = {
         let run = &state.runs.borrow()[place];
         (run.class.clone(), String::from_utf8_lossy(&run.body).into_owned())
     };
+    if body.as_bytes().starts_with(HELD) {
+        until_failing(state, body.as_bytes()).await;
+        return ("ERROR", String::new());
+    }
     let work = state.classes.get(&class).cloned().unwrap_or_default();
     let mut got = Vec::new();
     for call in 1..=work.calls {
@@ -386,7 +423,17 @@
         });
     }
     on_core(state, work.part).await;
-    format!("{class} {body} [{}]", got.join(", "))
+    ("OK", format!("{class} {body} [{}]", got.join(", ")))
+}
+
+async fn until_failing(state: &State, body: &[u8]) {
+    loop {
+        let fails = state.fails.notified();
+        if state.failing.borrow().contains(body) {
+            return;
+        }
+        fails.await;
+    }
 }
 
 async fn on_core(state: &State, time: Duration) {
@@ -404,6 +451,7 @@
         let now = *state.on_cores.borrow();
         let most = now.max(*state.most_on_cores.borrow());
         *state.most_on_cores.borrow_mut() = most;
+        state.levels.borrow_mut().push((Instant::now(), now));
         OnCore(state)
     }
 }
@@ -411,5 +459,7 @@
 impl Drop for OnCore<'_> {
     fn drop(&mut self) {
         *self.0.on_cores.borrow_mut() -= 1;
+        let now = *self.0.on_cores.borrow();
+        self.0.levels.borrow_mut().push((Instant::now(), now));
     }
 }
