Keep new connections at a full nodo until their first request can arrive

What callers saw: a request written to a connection that a full nodo had just accepted ended with no answer (drain_races, callers_in_the_backlog_of_a_full_nodo_are_answered_when_its_listener_closes).

Cause: with all slots taken, ask_one_to_close chose among the connections without an open request. When all others had a half-read request, that was the one accepted an instant before; it was closed 0.1 to 0.2 ms after its accept.

Change: such a connection is protected for 0.2 s (FIRST_REQUEST_GRACE); if only protected ones are left, the acceptor waits until the first of them may be asked, so that silent connections do not keep others out for longer.

Tests: a_new_connection_to_a_full_nodo_is_kept_for_its_first_request failed before with `closed within 1ms`, a_silent_connection_makes_room_at_a_full_nodo_after_its_first_request_delay with `the caller still waits`.

--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -36,6 +36,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection younger than this that has sent nothing is not yet treated as unused.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
+/// A new connection is not closed to make room within this time, since its first request may be on its way. Peers
+/// send it again if it crosses a close within 50 ms, but only once: the next connection must not end likewise.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
 /// Delay before accepting again after the system failed to give a connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 /// Bytes of records that belong to no open request, accepted between two complete requests.
@@ -101,12 +104,22 @@
     stalled_since: Cell<Option<Instant>>,
     /// Requests that the connection end because its peer reads nothing and others need the output budget.
     evict: Notify,
+    opened: Instant,
     last_traffic: Cell<Instant>,
     /// Whether the connection was asked to close to free a descriptor.
     asked_to_close: Cell<bool>,
     close_request: Notify,
 }
 
+impl ConnectionStatus {
+    /// When the connection may be closed to make room, if that is later than now because its first request may
+    /// be on its way.
+    fn protected_until(&self) -> Option<Instant> {
+        let until = self.opened + FIRST_REQUEST_GRACE;
+        (!self.used.get() && Instant::now() < until).then_some(until)
+    }
+}
+
 /// Accepts connections until `stop`, then those left in the listener's backlog.
 pub async fn accept(listener: Rc<TcpListener>, shared: Rc<Connections>, stop: impl Future<Output = ()>) {
     let mut stop = std::pin::pin!(stop);
@@ -121,10 +134,8 @@
         }
         // Keeps descriptors free for other uses: further connections wait until one has ended.
         if shared.open.get() + shared.other_process_descriptors.get() >= shared.max_connections {
-            let ended = shared.ended.notified();
-            shared.ask_one_to_close();
             tokio::select! {
-                () = ended => continue,
+                () = shared.wait_for_room() => continue,
                 () = &mut stop => break,
             }
         }
@@ -152,9 +163,7 @@
         if shared.open.get() + shared.other_process_descriptors.get()
             >= shared.max_connections + CLOSING_RESERVE
         {
-            let ended = shared.ended.notified();
-            shared.ask_one_to_close();
-            ended.await;
+            shared.wait_for_room().await;
             continue;
         }
         // Lets the runtime poll its sockets first.
@@ -190,6 +199,7 @@
         quiet: Cell::new(true),
         stalled_since: Cell::new(None),
         evict: Notify::new(),
+        opened: Instant::now(),
         last_traffic: Cell::new(Instant::now()),
         asked_to_close: Cell::new(false),
         close_request: Notify::new(),
@@ -259,21 +269,37 @@
         start(stream, peer, self, passed);
     }
 
+    /// Asks one connection to close, and waits until one has ended, or may be asked now and could not before.
+    async fn wait_for_room(&self) {
+        let ended = self.ended.notified();
+        let Some(protected_until) = self.ask_one_to_close() else { return ended.await };
+        // A timeout means that a connection may be asked now.
+        let _ = timeout_at(protected_until, ended).await;
+    }
+
     /// Asks one connection to close: preferably one that never brought a valid request, otherwise an idle
-    /// one, and among these the one that has been idle longest. Never one with an unanswered request.
-    fn ask_one_to_close(&self) {
+    /// one, and among these the one that has been idle longest. Never one with an unanswered request, or a new
+    /// one whose first request may be on its way. If only new ones are left, returns when the first of them may
+    /// be asked.
+    fn ask_one_to_close(&self) -> Option<Instant> {
         let connections = self.connections.borrow();
-        let quiet = connections.values().filter(|status| status.quiet.get() && !status.asked_to_close.get());
+        let (new, quiet): (Vec<_>, Vec<_>) = connections
+            .values()
+            .filter(|status| status.quiet.get() && !status.asked_to_close.get())
+            .partition(|status| status.protected_until().is_some());
         // The first request of a new connection may still be on its way.
         let unused = |status: &ConnectionStatus| {
             !status.used.get() && status.last_traffic.get().elapsed() > NEW_CONNECTION_GRACE
         };
-        if let Some(status) =
-            quiet.min_by_key(|status| (!unused(status), !status.used.get(), status.last_traffic.get()))
-        {
-            status.asked_to_close.set(true);
-            status.close_request.notify_one();
-        }
+        let Some(status) = quiet
+            .into_iter()
+            .min_by_key(|status| (!unused(status), !status.used.get(), status.last_traffic.get()))
+        else {
+            return new.iter().filter_map(|status| status.protected_until()).min();
+        };
+        status.asked_to_close.set(true);
+        status.close_request.notify_one();
+        None
     }
 
     /// Reserves output bytes for answers pending on this connection, beyond the budget if need be: then the
--- a/crates/node/tests/connection_races.rs
+++ b/crates/node/tests/connection_races.rs
@@ -22,12 +22,18 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinHandle, spawn_local, yield_now};
-use tokio::time::{advance, timeout};
+use tokio::time::{advance, sleep, timeout};
 
 /// Number of poll counts after which a writer writes: more than any task here needs between two events.
 const POLLS: u32 = 12;
 /// Longer than a connection may take to its first request, and than it must be idle before it can be evicted.
 const UNUSED_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long after its connection was accepted a first request may come in any case: the time within which a
+/// request may cross a close, and some more.
+const FIRST_REQUEST_DELAYS: [Duration; 3] =
+    [Duration::from_millis(1), Duration::from_millis(50), Duration::from_millis(100)];
+/// Time after which a connection that has sent nothing must have made room.
+const MAX_SILENT_TIME: Duration = Duration::from_millis(500);
 /// Time limit for the rest of a request.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// The protocol status of a request that never ran.
@@ -107,6 +113,14 @@
         assert!(peer.answer().await.unwrap().1.ends_with("first"));
     }
 
+    /// Answers the request of which the first 40 bytes were sent, and begins the next one.
+    async fn serve_rest(&mut self, peer: &mut Peer) {
+        peer.send(&whole_request()[40..]).await;
+        send_result(self.next_reply_to().await, b"rest");
+        assert!(peer.answer().await.expect("an answer").1.ends_with("rest"));
+        peer.send(&whole_request()[..40]).await;
+    }
+
     /// Answers all further requests in the background.
     fn serve_all(self) -> AutoServer {
         let Server { address, front, mut work, idle, stop, accepts, _facts } = self;
@@ -230,6 +244,42 @@
     });
 }
 
+/// Guards against requests lost on connections that a full nodo accepts and then closes for the next one
+/// before their first bytes can arrive.
+#[test]
+fn a_new_connection_to_a_full_nodo_is_kept_for_its_first_request() {
+    paused(async {
+        let mut server = Server::start(2).await;
+        let mut busy = server.used().await;
+        busy.send(&whole_request()[..40]).await;
+        for delay in FIRST_REQUEST_DELAYS {
+            let mut new = server.connect().await;
+            sleep(delay).await;
+            assert!(write_unless_ended(&new, &whole_request()), "closed within {delay:?}");
+            send_result(server.next_reply_to().await, b"new");
+            assert!(new.answer().await.expect("an answer").1.ends_with("new"), "lost after {delay:?}");
+            server.serve_rest(&mut busy).await;
+        }
+    });
+}
+
+/// Guards against connections that send nothing and keep waiting callers out of a full nodo.
+#[test]
+fn a_silent_connection_makes_room_at_a_full_nodo_after_its_first_request_delay() {
+    paused(async {
+        let mut server = Server::start(2).await;
+        let mut busy = server.used().await;
+        busy.send(&whole_request()[..40]).await;
+        let mut silent = server.connect().await;
+        let mut waiting = server.connect().await;
+        waiting.send(whole_request()).await;
+        let reply = timeout(MAX_SILENT_TIME, server.next_reply_to()).await.expect("the caller still waits");
+        send_result(reply, b"waited");
+        assert!(waiting.answer().await.expect("an answer").1.ends_with("waited"));
+        assert!(silent.answer().await.is_none());
+    });
+}
+
 #[test]
 fn an_idle_connection_is_evicted_before_one_with_a_half_read_request() {
     local(async {
