Do not close a new connection as idle before its first request

What callers saw: where the module closes idle connections and the settings name a very short idle time or none, a connection accepted a moment ago ended with its first request written and not run.

Cause: the limit was compared with the time since the last byte alone, which for a new connection is its age.

Change: the protection of new connections (FIRST_REQUEST_GRACE) holds for this close too; used connections and older silent ones end as before.

--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -36,8 +36,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection younger than this that has sent nothing is not yet treated as unused.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
-/// A new connection is not closed to make room within this time, since its first request may be on its way. Peers
-/// send it again if it crosses a close within 50 ms, but only once: the next connection must not end likewise.
+/// A new connection is not closed to make room or as idle within this time, since its first request may be on
+/// its way. Peers send it again if it crosses a close within 50 ms, but only once: the next connection must not
+/// end likewise.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
 /// Delay before accepting again after the system failed to give a connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
@@ -112,8 +113,8 @@
 }
 
 impl ConnectionStatus {
-    /// When the connection may be closed to make room, if that is later than now because its first request may
-    /// be on its way.
+    /// When the connection may be closed to make room or as idle, if that is later than now because its first
+    /// request may be on its way.
     fn protected_until(&self) -> Option<Instant> {
         let until = self.opened + FIRST_REQUEST_GRACE;
         (!self.used.get() && Instant::now() < until).then_some(until)
@@ -548,7 +549,9 @@
                     if idle.borrow().permanent {
                         continue;
                     }
-                    let lapsed = changed.is_err() || self.status.last_traffic.get().elapsed() >= limit;
+                    let idle_for_limit = self.status.last_traffic.get().elapsed() >= limit
+                        && self.status.protected_until().is_none();
+                    let lapsed = changed.is_err() || idle_for_limit;
                     if lapsed && self.may_close() {
                         return Ok(End::Idle);
                     }
--- a/crates/node/tests/connection_races.rs
+++ b/crates/node/tests/connection_races.rs
@@ -280,6 +280,25 @@
     });
 }
 
+/// Guards against requests lost on new connections when the module closes those idle for longer than a limit,
+/// however short the limit is.
+#[test]
+fn a_new_connection_is_not_closed_as_idle_before_its_first_request() {
+    paused(async {
+        for delay in FIRST_REQUEST_DELAYS {
+            let mut server = Server::start(4).await;
+            let mut used = server.used().await;
+            let mut new = server.connect().await;
+            sleep(delay).await;
+            server.idle.send_modify(|idle| idle.limit = Duration::ZERO);
+            assert!(used.answer().await.is_none(), "the limit closes no idle connection");
+            assert!(write_unless_ended(&new, &whole_request()), "closed within {delay:?}");
+            send_result(server.next_reply_to().await, b"new");
+            assert!(new.answer().await.expect("an answer").1.ends_with("new"), "lost after {delay:?}");
+        }
+    });
+}
+
 #[test]
 fn an_idle_connection_is_evicted_before_one_with_a_half_read_request() {
     local(async {
