Keep connections at a full nodo until their last answer had time to be read

What callers saw: at a full nodo a connection was closed right after an answer was written on it. A peer that had not read the whole answer and sent its next request lost the answer to a reset, although the run had taken place.

Cause: a connection could make room as soon as its answer was in the system's buffer; bytes that then met the closed socket reset the connection.

Evidence: a_connection_makes_no_room_until_its_peer_had_time_to_read_its_answer failed before with `lost after 1ms`.

Change: no connection makes room within 0.2 s (ANSWER_GRACE) of the last bytes sent on it. A linger before the close was tried and left: it held the listen queue of a closing listener too long, and the test of that failed.

--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -40,6 +40,9 @@
 /// its way. Peers send it again if it crosses a close within 50 ms, but only once: the next connection must not
 /// end likewise.
 const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(200);
+/// A connection is not closed to make room within this time after an answer was sent on it: the peer may not have
+/// read it, and its next request, which would meet a closed socket, would reset the connection under the answer.
+const ANSWER_GRACE: Duration = Duration::from_millis(200);
 /// Delay before accepting again after the system failed to give a connection.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 /// Bytes of records that belong to no open request, accepted between two complete requests.
@@ -107,17 +110,25 @@
     evict: Notify,
     opened: Instant,
     last_traffic: Cell<Instant>,
+    /// When bytes of an answer were last sent.
+    last_sent: Cell<Option<Instant>>,
     /// Whether the connection was asked to close to free a descriptor.
     asked_to_close: Cell<bool>,
     close_request: Notify,
 }
 
 impl ConnectionStatus {
-    /// When the connection may be closed to make room or as idle, if that is later than now because its first
-    /// request may be on its way.
+    /// Whether the first request of the connection may be on its way.
+    fn is_new(&self) -> bool {
+        !self.used.get() && self.opened.elapsed() < FIRST_REQUEST_GRACE
+    }
+
+    /// When the connection may be closed to make room, if that is later than now because its first request may
+    /// be on its way or its last answer unread.
     fn protected_until(&self) -> Option<Instant> {
-        let until = self.opened + FIRST_REQUEST_GRACE;
-        (!self.used.get() && Instant::now() < until).then_some(until)
+        let first_request = (!self.used.get()).then(|| self.opened + FIRST_REQUEST_GRACE);
+        let answer = self.last_sent.get().map(|sent| sent + ANSWER_GRACE);
+        first_request.max(answer).filter(|until| Instant::now() < *until)
     }
 }
 
@@ -202,6 +213,7 @@
         evict: Notify::new(),
         opened: Instant::now(),
         last_traffic: Cell::new(Instant::now()),
+        last_sent: Cell::new(None),
         asked_to_close: Cell::new(false),
         close_request: Notify::new(),
     });
@@ -279,12 +291,11 @@
     }
 
     /// Asks one connection to close: preferably one that never brought a valid request, otherwise an idle
-    /// one, and among these the one that has been idle longest. Never one with an unanswered request, or a new
-    /// one whose first request may be on its way. If only new ones are left, returns when the first of them may
-    /// be asked.
+    /// one, and among these the one that has been idle longest. Never one with an unanswered request, or a
+    /// protected one. If only protected ones are left, returns when the first of them may be asked.
     fn ask_one_to_close(&self) -> Option<Instant> {
         let connections = self.connections.borrow();
-        let (new, quiet): (Vec<_>, Vec<_>) = connections
+        let (protected, quiet): (Vec<_>, Vec<_>) = connections
             .values()
             .filter(|status| status.quiet.get() && !status.asked_to_close.get())
             .partition(|status| status.protected_until().is_some());
@@ -296,7 +307,7 @@
             .into_iter()
             .min_by_key(|status| (!unused(status), !status.used.get(), status.last_traffic.get()))
         else {
-            return new.iter().filter_map(|status| status.protected_until()).min();
+            return protected.iter().filter_map(|status| status.protected_until()).min();
         };
         status.asked_to_close.set(true);
         status.close_request.notify_one();
@@ -550,7 +561,7 @@
                         continue;
                     }
                     let idle_for_limit = self.status.last_traffic.get().elapsed() >= limit
-                        && self.status.protected_until().is_none();
+                        && !self.status.is_new();
                     let lapsed = changed.is_err() || idle_for_limit;
                     if lapsed && self.may_close() {
                         return Ok(End::Idle);
@@ -815,6 +826,7 @@
                     self.output.drain(..n);
                     self.last_write = Instant::now();
                     self.status.last_traffic.set(self.last_write);
+                    self.status.last_sent.set(Some(self.last_write));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e.into()),
--- a/crates/node/tests/connection_races.rs
+++ b/crates/node/tests/connection_races.rs
@@ -34,6 +34,8 @@
     [Duration::from_millis(1), Duration::from_millis(50), Duration::from_millis(100)];
 /// Time after which a connection that has sent nothing must have made room.
 const MAX_SILENT_TIME: Duration = Duration::from_millis(500);
+/// Longer than a request takes from a peer to the engine.
+const SHORT_WAIT: Duration = Duration::from_millis(5);
 /// Time limit for the rest of a request.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// The protocol status of a request that never ran.
@@ -299,6 +301,42 @@
     });
 }
 
+/// Guards against answers lost to a reset: a connection makes room right after its answer was written, and its
+/// peer, which has not read all of it, sends its next request.
+#[test]
+fn a_connection_makes_no_room_until_its_peer_had_time_to_read_its_answer() {
+    paused(async {
+        let (listener, address) = listener().await;
+        SockRef::from(&listener).set_send_buffer_size(8192).unwrap();
+        let mut server = Server::on(listener, address, |front| front.max_connections = 3);
+        let mut busy = server.used().await;
+        busy.send(&whole_request()[..40]).await;
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(2048).unwrap();
+        let mut slow = Peer::new(socket.connect(address).await.unwrap());
+        slow.stream.set_nodelay(true).unwrap();
+        // More than the peer's buffer takes, less than the nodo's.
+        let result = vec![b'x'; 4000];
+        for delay in FIRST_REQUEST_DELAYS {
+            slow.send(whole_request()).await;
+            send_result(server.next_reply_to().await, &result);
+            // Takes the last slot.
+            let new = server.connect().await;
+            sleep(delay).await;
+            assert!(write_unless_ended(&slow, &whole_request()), "closed within {delay:?}");
+            for _ in 0..2 {
+                let answer = slow.answer().await.unwrap_or_else(|| panic!("lost after {delay:?}"));
+                assert!(answer.1.ends_with(std::str::from_utf8(&result).unwrap()));
+                if let Ok(reply) = timeout(SHORT_WAIT, server.next_reply_to()).await {
+                    send_result(reply, &result);
+                }
+            }
+            drop(new);
+            server.serve_rest(&mut busy).await;
+        }
+    });
+}
+
 #[test]
 fn an_idle_connection_is_evicted_before_one_with_a_half_read_request() {
     local(async {
