Accept waiting callers of a full nodo once a connection becomes idle

What callers saw: a caller stayed in the listen queue of a full nodo, its request unread, beside connections that had become idle meanwhile.

Cause: room was asked for once, when the slots were found taken. If every connection had a request open then, the acceptor waited for one to end, and a connection that became idle told nobody.

The test a_waiting_caller_is_accepted_once_a_connection_of_a_full_nodo_is_idle failed before with `the caller still waits`.

Change: a connection that becomes idle wakes the acceptor; one connection at a time is asked to make room, so that a wake closes no more than is wanted.

--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -85,7 +85,7 @@
     other_process_descriptors: Cell<usize>,
     /// Status of each open connection, in order of arrival.
     connections: RefCell<BTreeMap<u64, Rc<ConnectionStatus>>>,
-    /// Notified when a connection ends, or cannot end although it was asked to.
+    /// Notified when a connection ends, could end from now on, or cannot end although it was asked to.
     pub ended: Notify,
     /// Limits log lines about peers' faults to one per second.
     fault_limiter: RefCell<Limiter>,
@@ -295,9 +295,13 @@
     /// protected one. If only protected ones are left, returns when the first of them may be asked.
     fn ask_one_to_close(&self) -> Option<Instant> {
         let connections = self.connections.borrow();
+        // The one asked before ends soon, or tells that it cannot.
+        if connections.values().any(|status| status.asked_to_close.get()) {
+            return None;
+        }
         let (protected, quiet): (Vec<_>, Vec<_>) = connections
             .values()
-            .filter(|status| status.quiet.get() && !status.asked_to_close.get())
+            .filter(|status| status.quiet.get())
             .partition(|status| status.protected_until().is_some());
         // The first request of a new connection may still be on its way.
         let unused = |status: &ConnectionStatus| {
@@ -449,6 +453,9 @@
         }
         // From here on this connection cannot be asked to free its descriptor.
         self.status.quiet.set(false);
+        if !matches!(end, End::Replaced) && self.status.asked_to_close.replace(false) {
+            self.shared.ended.notify_waiters();
+        }
         match end {
             End::Gone | End::Replaced => {}
             _ if self.read_closed => {}
@@ -514,7 +521,7 @@
                 return Ok(End::Finished);
             }
             let half_read = self.status.used.get() && self.has_partial_request();
-            self.status.quiet.set(!(owed || half_read));
+            self.set_quiet(!(owed || half_read));
             let (passing, last_call) = (idle.borrow().hand_over, idle.borrow().stop_reading);
             // No request is open and the input read so far is passed along, so no request meets a closed
             // connection.
@@ -601,6 +608,14 @@
         }
     }
 
+    /// Sets whether the connection may be closed; if it became so, another one may be waiting for its room.
+    fn set_quiet(&self, quiet: bool) {
+        let became_quiet = !self.status.quiet.replace(quiet) && quiet;
+        if became_quiet {
+            self.shared.ended.notify_waiters();
+        }
+    }
+
     /// Whether a request, or the rest of one, has been awaited too long. A request that is owed an answer was
     /// complete in time.
     fn is_late(&self) -> bool {
--- a/crates/node/tests/connection_races.rs
+++ b/crates/node/tests/connection_races.rs
@@ -301,6 +301,32 @@
     });
 }
 
+/// Guards against callers that wait for a full nodo although a connection could make room: all had a request
+/// open when room was first wanted.
+#[test]
+fn a_waiting_caller_is_accepted_once_a_connection_of_a_full_nodo_is_idle() {
+    paused(async {
+        let mut server = Server::start(2).await;
+        let (mut one, mut other) = (server.connect().await, server.connect().await);
+        let mut replies = Vec::new();
+        for peer in [&mut one, &mut other] {
+            peer.send(whole_request()).await;
+            replies.push(server.next_reply_to().await);
+        }
+        let mut waiting = server.connect().await;
+        waiting.send(whole_request()).await;
+        // Longer than any connection is protected.
+        sleep(UNUSED_TIMEOUT).await;
+        send_result(replies.remove(0), b"one");
+        assert!(one.answer().await.expect("an answer").1.ends_with("one"));
+        let reply = timeout(MAX_SILENT_TIME, server.next_reply_to()).await.expect("the caller still waits");
+        send_result(reply, b"waited");
+        assert!(waiting.answer().await.expect("an answer").1.ends_with("waited"));
+        send_result(replies.remove(0), b"other");
+        assert!(other.answer().await.expect("an answer").1.ends_with("other"));
+    });
+}
+
 /// Guards against answers lost to a reset: a connection makes room right after its answer was written, and its
 /// peer, which has not read all of it, sends its next request.
 #[test]
