Close the listen socket of a leaving nodo when it stops accepting

What callers saw: from 0.1 s after the grace until the process ended, new connections were accepted by the system, requests were written on them, nobody read them, and all were reset at the end. No refused connection told the callers that nothing had run.

Cause: Listeners::close dropped its listeners, but upgrade::Keeper::keep held a reference to the first, to hand it to a later start.

Change: the keeper asks Listeners for a listener when another process is to have one. After the close it gets another one at the same address, which this process does not use, so that a later start can take over as before.

--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -24,6 +24,7 @@
 use crate::engine::input::{Input, Peer};
 use crate::fastcgi::connection::{Connections, PassedState, accept};
 use crate::log;
+use crate::server::listen;
 use claims::{
     HEARTBEAT_INTERVAL, PeerResponse, SilenceDetector, StabilityWatch, TAKEOVER_DELAY, TakeoverAction,
     TakeoverContext, next_action,
@@ -252,14 +253,21 @@
     /// Set once nothing more is accepted.
     close: watch::Sender<bool>,
     all: RefCell<Vec<Rc<TcpListener>>>,
+    /// The address of the first listener.
+    address: Cell<Option<SocketAddr>>,
     accepting: RefCell<Vec<JoinHandle<()>>>,
 }
 
 impl Listeners {
     /// Creates an empty set of listeners.
     pub fn new(front: Rc<Connections>) -> Listeners {
-        let (all, accepting) = (RefCell::default(), RefCell::default());
-        Listeners { front, close: watch::channel(false).0, all, accepting }
+        Listeners {
+            front,
+            close: watch::channel(false).0,
+            all: RefCell::default(),
+            address: Cell::default(),
+            accepting: RefCell::default(),
+        }
     }
 
     /// Accepts connections at a listener from now on.
@@ -268,10 +276,22 @@
         let stop = async move {
             let _ = close.wait_for(|close| *close).await;
         };
+        self.address.set(self.address.get().or_else(|| listener.local_addr().ok()));
         self.all.borrow_mut().push(listener.clone());
         self.accepting.borrow_mut().push(spawn_local(accept(listener, self.front.clone(), stop)));
     }
 
+    /// Returns the first listener for another process. Nothing here may keep it: it must close in
+    /// [`Listeners::close`], since connections that the system accepts later would have no answer. Once it is
+    /// closed, returns another listener at the same address, which this process does not use.
+    fn listener_to_share(&self) -> io::Result<Rc<TcpListener>> {
+        if let Some(listener) = self.all.borrow().first() {
+            return Ok(listener.clone());
+        }
+        let address = self.address.get().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        listen("listen", address, true).map(Rc::new)
+    }
+
     /// Stops accepting, after the connections that the system has accepted by then.
     pub async fn close(&self, until: Instant) {
         self.close.send_replace(true);
@@ -441,6 +461,7 @@
     /// While this process itself is still taking over, others are declined.
     pub async fn keep(self, serves: Serving) {
         let Serving { listener, taking } = serves;
+        drop(listener);
         let mut socket = None;
         let mut taking = taking.map(|(task, out)| {
             // An error means that the earlier process has ended.
@@ -462,19 +483,19 @@
                     task.abort();
                     self.listeners.front.reserve_for_other_process(0);
                     drop(acceptor);
-                    self.regain(&listener, false).await;
+                    self.regain(false).await;
                     continue;
                 }
             }
             let accepted = tokio::select! {
-                accepted = self.accept_link(&acceptor, &listener) => Some(accepted),
+                accepted = self.accept_link(&acceptor) => Some(accepted),
                 () = self.until_lost() => None,
             };
             match accepted {
                 // This process has lost ownership.
                 None => {
                     drop(acceptor);
-                    self.regain(&listener, false).await;
+                    self.regain(false).await;
                 }
                 Some(Accepted::Nobody) => socket = Some(acceptor),
                 Some(Accepted::Later(link)) => {
@@ -488,7 +509,7 @@
                     let is_silent = self.hand_over_ended(&ended).await;
                     if given.get() || self.desk.lost.get() {
                         drop(acceptor);
-                        self.regain(&listener, is_silent).await;
+                        self.regain(is_silent).await;
                     }
                 }
                 Some(Accepted::Lost(link, theirs)) => {
@@ -518,14 +539,21 @@
 
     /// Handles the loss of ownership: hands over to the owner for as long as that responds, and takes
     /// ownership back once it is silent.
-    async fn regain(&self, listener: &TcpListener, mut is_silent: bool) {
+    async fn regain(&self, mut is_silent: bool) {
         let mut last_reason = String::new();
         let (mut steady, began) = (StabilityWatch::default(), Instant::now());
         loop {
             let me =
                 Message::Yield { version: VERSION, name: self.name.clone(), listen: self.listen.to_string() };
-            let contact =
-                if is_silent { Contact::Silent } else { contact(&self.place, me, Some(listener)).await };
+            let contact = match self.listeners.listener_to_share() {
+                _ if is_silent => Contact::Silent,
+                Ok(listener) => contact(&self.place, me, Some(&listener)).await,
+                Err(e) => {
+                    log!(WARN, "upgrade: {e}; the owner is not contacted yet");
+                    sleep(RETRY_INTERVAL).await;
+                    continue;
+                }
+            };
             let steady = steady.see(self.place.ownership_mark(), began.elapsed());
             match (
                 next_action(contact.response(), TakeoverContext { up: true, others: true, steady }),
@@ -564,7 +592,7 @@
     }
 
     /// Accepts a link, and decides whether the process at its other end may use it.
-    async fn accept_link(&self, socket: &UnixListener, listener: &TcpListener) -> Accepted {
+    async fn accept_link(&self, socket: &UnixListener) -> Accepted {
         let Ok((stream, _)) = socket.accept().await else {
             sleep(RETRY_INTERVAL).await;
             return Accepted::Nobody;
@@ -588,6 +616,7 @@
                     (Some(_), Some(theirs)) => return Ok(Greeting::Lost(theirs)),
                     (Some(lameduck), None) => {
                         let welcome = Message::Welcome { lameduck };
+                        let listener = self.listeners.listener_to_share()?;
                         writer.send(&welcome, Some(listener.as_fd())).await?;
                         return Ok(Greeting::Later);
                     }
--- a/crates/node/tests/drain_races.rs
+++ b/crates/node/tests/drain_races.rs
@@ -271,6 +271,32 @@
     local(retry_while_stalled(full_as_the_listener_closes));
 }
 
+/// Guards against connections that the system accepts after the nodo has closed its listener: requests on them
+/// would have no answer. A request whose rest is awaited keeps the process running meanwhile.
+#[test]
+fn connections_are_refused_once_the_listener_is_closed() {
+    local(retry_while_stalled(async || {
+        let mut draining = DrainingNodo::start(nodo("refused", 300, "").await).await;
+        let wire = draining.used_connection(1).await;
+        let at = draining.schedule_termination();
+        let times = (at - 50 * MS, at + 1500 * MS);
+        let half_read = spawn_local(send_in_parts(wire, read_request(), 60, times));
+        let terminated_at = draining.terminate().await;
+        // The listener closes 100 ms after the grace.
+        sleep_until(terminated_at + 700 * MS).await;
+        let mut accepted = 0;
+        for n in 10..20 {
+            accepted += usize::from(Wire::connect(draining.nodo.address, n).await.is_ok());
+        }
+        let half_read = half_read.await.unwrap();
+        draining.assert_clean_exit().await;
+        assert_eq!(half_read.statuses, [503], "{half_read:?}");
+        let steady = draining.stall_monitor.is_steady();
+        assert!(accepted == 0 || !steady, "{accepted} of 10 connections: {}", draining.nodo.logs());
+        steady
+    }));
+}
+
 /// What a continuous sender sent and received until its connection ended.
 struct ContinuousSender {
     /// In the order of sending.
