Add a soak of a nodo's life under callers, crowds and signals drawn from a seed

Time limits that are broken by less than twice the longest stall are printed as not decided and counted; a second try that ends with no answer always counts.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 CARGO ?= cargo
 LAB = target/release/jaspershunt-lab
 
-.PHONY: build test test-known-red lint run lab demo demo-fleet measure measure-dependencies measure-capture measure-freezes measure-leases \
+.PHONY: build test soak test-known-red lint run lab demo demo-fleet measure measure-dependencies measure-capture measure-freezes measure-leases \
         measure-partial
 
 build:
@@ -34,6 +34,11 @@
 
 measure: measure-dependencies measure-capture measure-freezes measure-leases measure-partial
 
+# Plays SEEDS seeds from SEED on, one after another; a seed takes about 5 s.
+soak:
+	SOAK_SEED=$(or $(SEED),1) SOAK_SEEDS=$(or $(SEEDS),50) $(CARGO) test --locked --package jaspershunt-node --test soak -- \
+	    --ignored --exact soak_by_hand --nocapture
+
 measure-dependencies: lab
 	$(LAB) measure dependencies $(if $(OUT),--out $(OUT))
 
--- a/crates/node/tests/common/draining.rs
+++ b/crates/node/tests/common/draining.rs
@@ -70,6 +70,11 @@
         StallMonitor(longest)
     }
 
+    /// Returns the longest pause so far.
+    pub fn longest(&self) -> Duration {
+        self.0.get()
+    }
+
     /// Returns whether neither the process nor the test was paused for too long.
     pub fn is_steady(&self) -> bool {
         self.0.get() < MAX_STALL
