Check the end of a run before other keys' results make room for it

What callers saw: a repeat of a keyed request that ran failed, its kept result gone, though there was memory for it. Evidence: the_end_of_a_run_that_is_not_known_drops_no_result and the_second_end_of_a_run_drops_no_result failed before (`dropped for another try of a key`, `is_kept(&keys)`). Change: the checks come first. Tests of the crate pass.

--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -300,23 +300,22 @@
     /// Records the end of the run of this try. A result that does not fit in memory is not kept, and a
     /// repeated try then fails.
     pub fn end_run(&mut self, key: &Key, id: RequestId, result: Option<Rc<[u8]>>) {
-        let fits = result.as_ref().is_some_and(|result| {
+        let is_running = self.records.get(key).and_then(|record| record.run.as_ref());
+        if !is_running.is_some_and(|run| run.id == id && run.state == RunState::Running) {
+            return;
+        }
+        let result = result.filter(|result| {
             self.make_room(result.len());
             self.bytes + result.len() <= self.max_bytes
         });
-        let Some(run) = self.records.get_mut(key).and_then(|r| r.run.as_mut()).filter(|r| r.id == id) else {
-            return;
-        };
-        if run.state != RunState::Running {
-            return;
-        }
+        let Some(run) = self.records.get_mut(key).and_then(|record| record.run.as_mut()) else { return };
         run.state = match result {
-            Some(result) if fits => {
+            Some(result) => {
                 self.bytes += result.len();
                 self.results.insert((run.expires_at, key.clone()));
                 RunState::Done(result)
             }
-            _ => RunState::Failed,
+            None => RunState::Failed,
         };
     }
 
