Drop no kept results for one that is larger than the table's bound

What callers saw: repeats of keyed requests failed after another run made a result beyond the bound of kept results. Evidence: a_result_larger_than_the_table_drops_no_result failed before with `is_kept(&keys)`. Change: make_room drops nothing for what is larger than the bound, and returns whether there is room. The crate's tests pass.

--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -155,9 +155,7 @@
             self.remove_run(run.expires_at, key);
         }
         if !self.records.contains_key(key) {
-            let max_bytes = self.max_bytes;
-            self.make_room(record_bytes(key));
-            if self.bytes + record_bytes(key) > max_bytes {
+            if !self.make_room(record_bytes(key)) {
                 return Err(TryRejected::Full);
             }
             self.bytes += record_bytes(key);
@@ -304,10 +302,7 @@
         if !is_running.is_some_and(|run| run.id == id && run.state == RunState::Running) {
             return;
         }
-        let result = result.filter(|result| {
-            self.make_room(result.len());
-            self.bytes + result.len() <= self.max_bytes
-        });
+        let result = result.filter(|result| self.make_room(result.len()));
         let Some(run) = self.records.get_mut(key).and_then(|record| record.run.as_mut()) else { return };
         run.state = match result {
             Some(result) => {
@@ -328,10 +323,14 @@
         self.remove_if_empty(key);
     }
 
-    /// Removes results, oldest first, until there is room or none are left.
-    fn make_room(&mut self, bytes: usize) {
+    /// Removes results, oldest first, until there is room or none are left; returns whether there is room. Removes
+    /// none for what could never fit.
+    fn make_room(&mut self, bytes: usize) -> bool {
+        if bytes > self.max_bytes {
+            return false;
+        }
         while self.bytes + bytes > self.max_bytes {
-            let Some((_, key)) = self.results.pop_first() else { return };
+            let Some((_, key)) = self.results.pop_first() else { return false };
             if let Some(run) = self.records.get_mut(&key).and_then(|r| r.run.as_mut()) {
                 if let RunState::Done(result) = &run.state {
                     self.bytes -= result.len();
@@ -339,6 +338,7 @@
                 run.state = RunState::Failed;
             }
         }
+        true
     }
 
     /// Whether the window of any run has passed.
--- a/crates/keys/tests/kept_results.rs
+++ b/crates/keys/tests/kept_results.rs
@@ -50,6 +50,14 @@
     assert_eq!(keys.run_state(&key("other")), Some(&RunState::Failed));
 }
 
+#[test]
+fn a_result_larger_than_the_table_drops_no_result() {
+    let mut keys = table();
+    keys.end_run(&key("other"), RequestId(2), result(MAX_BYTES + 1));
+    assert!(is_kept(&keys));
+    assert_eq!(keys.run_state(&key("other")), Some(&RunState::Failed));
+}
+
 #[test]
 fn a_result_that_fits_takes_the_room_of_older_ones() {
     let mut keys = table();
