--- a/review/harness/src/fastcgi.rs
+++ b/review/harness/src/fastcgi.rs
@@ -157,6 +157,18 @@
         self.write(&whole(id, t))
     }
 
+    /// A health check.
+    pub fn check(&self, id: u16) -> std::io::Result<()> {
+        let (mut out, mut some) = (Vec::new(), Vec::new());
+        begin(id, &mut out);
+        pair("REQUEST_METHOD", "GET", &mut some);
+        pair("SCRIPT_NAME", "/healthz", &mut some);
+        record(PARAMS, id, &some, &mut out);
+        record(PARAMS, id, &[], &mut out);
+        record(STDIN, id, &[], &mut out);
+        self.write(&out)
+    }
+
     pub fn abort(&self, id: u16) -> std::io::Result<()> {
         let mut out = Vec::new();
         record(ABORT, id, &[], &mut out);
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -3,6 +3,7 @@
 //! not run.
 
 mod fastcgi;
+mod flood;
 mod load;
 mod nodo;
 mod peers;
@@ -37,6 +38,7 @@
     let setting = Setting { run: option("--run"), record: record.clone(), tmp: option("--tmp").into(), trouble };
     record.line(&format!("disruption: {}", if trouble { "played" } else { "left out" }));
     let verdict = match args.first().map(String::as_str) {
+        Some("flood") => flood::play(&setting),
         Some("shorter") => shorter::play(&setting),
         other => Err(format!("unknown case {other:?}")),
     };
--- a/review/harness/src/nodo.rs
+++ b/review/harness/src/nodo.rs
@@ -204,9 +204,14 @@
 
 /// One call of an operator.
 pub fn ask(at: SocketAddr, call: &str) -> Option<String> {
+    ask_with(at, call, "")
+}
+
+/// One call of an operator, with what follows its line.
+pub fn ask_with(at: SocketAddr, call: &str, more: &str) -> Option<String> {
     let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(500)).ok()?;
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
-    stream.write_all(format!("{call}\n").as_bytes()).ok()?;
+    stream.write_all(format!("{call}\n{more}").as_bytes()).ok()?;
     let mut answer = String::new();
     let _ = stream.read_to_string(&mut answer);
     Some(answer)
--- a/review/harness/src/peers.rs
+++ b/review/harness/src/peers.rs
@@ -89,10 +89,15 @@
 
 impl Interpreter {
     pub fn start(name: &str, record: &Record) -> Interpreter {
+        Interpreter::late(name, record, Duration::ZERO)
+    }
+
+    /// One that comes up so long after its address takes links.
+    pub fn late(name: &str, record: &Record, delay: Duration) -> Interpreter {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let state = Arc::default();
-        let up = Instant::now();
+        let up = Instant::now() + delay;
         let me = Interpreter { address, state, record: record.clone(), name: name.into(), up };
         let interpreter = me.clone();
         thread::spawn(move || {
@@ -121,6 +126,8 @@
             let uid = field(&line, "uid").unwrap_or_default().to_string();
             match field(&line, "action").unwrap_or_default() {
                 "CONNECT" => {
+                    // The link is accepted; BANNER waits until the interpreter is up.
+                    thread::sleep(self.up.saturating_duration_since(Instant::now()));
                     let after: u64 = field(&line, "pos").and_then(|n| n.parse().ok()).unwrap_or(0);
                     let mut state = self.state.lock().unwrap();
                     state.links += 1;
