--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod nodo;
 mod peers;
+mod quorum;
 mod record;
 mod shorter;
 
@@ -39,6 +40,7 @@
     record.line(&format!("disruption: {}", if trouble { "played" } else { "left out" }));
     let verdict = match args.first().map(String::as_str) {
         Some("flood") => flood::play(&setting),
+        Some("quorum") => quorum::play(&setting),
         Some("shorter") => shorter::play(&setting),
         other => Err(format!("unknown case {other:?}")),
     };
--- a/review/harness/src/peers.rs
+++ b/review/harness/src/peers.rs
@@ -54,6 +54,7 @@
 
 #[derive(Default)]
 struct State {
+    cold: bool,
     link: Option<(u64, TcpStream)>,
     links: u64,
     pos: u64,
@@ -92,6 +93,13 @@
         Interpreter::late(name, record, Duration::ZERO)
     }
 
+    /// One that says that it started cold.
+    pub fn cold(name: &str, record: &Record) -> Interpreter {
+        let me = Interpreter::start(name, record);
+        me.state.lock().unwrap().cold = true;
+        me
+    }
+
     /// One that comes up so long after its address takes links.
     pub fn late(name: &str, record: &Record, delay: Duration) -> Interpreter {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -133,7 +141,8 @@
                     state.links += 1;
                     mine = state.links;
                     let ms = self.up.elapsed().as_millis();
-                    let mut out = format!("{{\"action\":\"BANNER\",\"code\":\"WARM\",\"wall_ms\":{ms}}}\n");
+                    let code = if state.cold { "COLD" } else { "WARM" };
+                    let mut out = format!("{{\"action\":\"BANNER\",\"code\":\"{code}\",\"wall_ms\":{ms}}}\n");
                     for (pos, notice) in &state.notices {
                         if *pos > after {
                             out.push_str(notice);
