--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,4 +8,4 @@
 [ -x "$driver" ] && [ -n "$run" ] || exit 2
 tmp=$(mktemp -d) || exit 2
 trap 'rm -rf "$tmp"' EXIT
-"$driver" quorum --run "$run" --record "$here/record.txt" --tmp "$tmp"
+"$driver" flood --run "$run" --record "$here/record.txt" --tmp "$tmp"
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -7,8 +7,8 @@
 mod load;
 mod nodo;
 mod peers;
-mod quorum;
 mod record;
+mod retired;
 mod shorter;
 
 use record::Record;
@@ -39,8 +39,8 @@
     let setting = Setting { run: option("--run"), record: record.clone(), tmp: option("--tmp").into(), trouble };
     record.line(&format!("disruption: {}", if trouble { "played" } else { "left out" }));
     let verdict = match args.first().map(String::as_str) {
+        Some("retired") => retired::play(&setting),
         Some("flood") => flood::play(&setting),
-        Some("quorum") => quorum::play(&setting),
         Some("shorter") => shorter::play(&setting),
         other => Err(format!("unknown case {other:?}")),
     };
