--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -8,6 +8,7 @@
 mod nodo;
 mod peers;
 mod record;
+mod replies;
 mod retired;
 mod shorter;
 
@@ -41,6 +42,7 @@
     let verdict = match args.first().map(String::as_str) {
         Some("retired") => retired::play(&setting),
         Some("flood") => flood::play(&setting),
+        Some("replies") => replies::play(&setting),
         Some("shorter") => shorter::play(&setting),
         other => Err(format!("unknown case {other:?}")),
     };
--- a/review/harness/src/retired.rs
+++ b/review/harness/src/retired.rs
@@ -51,6 +51,7 @@
                 classes: vec!["consulta-estado", "verificar-firma"],
                 keyed: "registrar-firma",
                 work_ms: vec![120, 60, 90],
+                calls: 0,
                 body_bytes: 300,
                 wait: Duration::from_millis(9200),
             };
--- a/review/harness/src/shorter.rs
+++ b/review/harness/src/shorter.rs
@@ -62,6 +62,7 @@
                 classes: vec!["consulta-estado", "verificar-firma", "registrar-firma"],
                 keyed: "registrar-firma",
                 work_ms: vec![150, 210, 250, 180],
+                calls: 0,
                 body_bytes: 300,
                 wait: Duration::from_millis(2500),
             };
