--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,3 +9,6 @@
 tmp=$(mktemp -d) || exit 2
 trap 'rm -rf "$tmp"' EXIT
 "$driver" shorter --run "$run" --record "$here/record.txt" --tmp "$tmp"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
--- a/review/harness/src/nodo.rs
+++ b/review/harness/src/nodo.rs
@@ -126,7 +126,15 @@
 
 impl Nodo {
     /// Starts `run` of the deploy file, with `more` behind it, as the platform does.
-    pub fn start(name: &str, run: &str, more: &str, config: &Config, file: &Path, tmp: &Path, record: &Record) -> Nodo {
+    pub fn start(
+        name: &str,
+        run: &str,
+        more: &str,
+        config: &Config,
+        file: &Path,
+        tmp: &Path,
+        record: &Record,
+    ) -> Nodo {
         config.write(file);
         let mut child = Command::new("/bin/sh")
             .arg("-c")
