--- a/review/harness/src/flood.rs
+++ b/review/harness/src/flood.rs
@@ -14,7 +14,9 @@
 use std::time::{Duration, Instant};
 
 /// Connections of bad clients, and the requests that each begins and never ends.
-const BAD_CONNECTIONS: usize = 48;
+const BAD_CONNECTIONS: usize = 96;
+/// What each of these messages holds: less than a usual request, so that what is left has no room for one.
+const BAD_BYTES: usize = 2000;
 const BAD_REQUESTS: u16 = 32;
 
 pub struct Flood {
@@ -31,10 +33,10 @@
             "{BAD_CONNECTIONS} bad clients begin {BAD_REQUESTS} messages each that never end"
         ));
         let threads = (0..BAD_CONNECTIONS)
-            .map(|n| {
+            .map(|_| {
                 let (stop, turned, closed): (_, Arc<AtomicU64>, Arc<AtomicU64>) =
                     (stop.clone(), Arc::clone(&turned_away), Arc::clone(&closed));
-                std::thread::spawn(move || bad_client(to, n, &stop, &turned, &closed))
+                std::thread::spawn(move || bad_client(to, &stop, &turned, &closed))
             })
             .collect();
         Flood { stop, threads, turned_away, closed }
@@ -53,9 +55,8 @@
     }
 }
 
-fn bad_client(to: SocketAddr, n: usize, stop: &AtomicBool, turned: &AtomicU64, closed: &AtomicU64) {
-    // A few begin short messages, so that little room is left.
-    let length = if n % 6 == 5 { 200 } else { 8000 };
+fn bad_client(to: SocketAddr, stop: &AtomicBool, turned: &AtomicU64, closed: &AtomicU64) {
+    let length = BAD_BYTES;
     while !stop.load(Ordering::Relaxed) {
         let Ok(mut stream) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else {
             sleep(Duration::from_millis(20));
