Refuse no request whose key is not known, and keep room to read whole ones

Cause: the connection answered OVERLOADED whenever it could not read a request to its end: no memory, a 33rd open request, a close or a time-out under half a request. Whether a refusal is true is known by the engine's table of keys alone, which was not asked. All bytes of requests had one budget, so that 96 connections with requests that never end left no room to read usual ones.

Evidence: the new tests in request_memory.rs on the code before: the next try got `2 ""` (OVERLOADED without text) while its first try ran, and a request without a key never ran (the test hangs). a_try_in_one_write_with_the_abort_... fails with `open.aborted` left unset: the try came as WorkWithoutRoom.

Change: the memory for requests has three parts: a quarter divided among the connections, a quarter for all unfinished requests, half for whole ones. A whole request without room (the 33rd open one too) is refused at once only where it has no key; else the engine looks its key up (Input::WorkWithoutRoom). A request that is not read to its end is refused only where a class without keys was read, and fails otherwise. Requests taken back do not count among the 32; 64 are the bound. Why it works: no refusal leaves the connection for a request that may have a key, and a usual request fits into its connection's own part whatever others send.

Tests changed, as they asked for the refusal at fault: half-read requests of an unknown or keyed class now have to fail, those of a class without keys to be refused (four cases in place of one, at the time-out and at the last read); the 33rd request is read and its reply checked; the budgets' test has the three parts and a second limit. requests_beyond_the_open_or_memory_limit_are_refused_as_overloaded is replaced by these.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -374,6 +374,7 @@
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Work { id, work, reply } => self.arrive(id, work, reply),
+            Input::WorkWithoutRoom { id, work, reply } => self.arrive_without_room(id, work, reply),
             Input::Check { reply } => {
                 reply.send(Reply::new(Answer::Health { good: self.is_healthy() }, self.caller_feedback()));
             }
--- a/crates/node/src/engine/arrivals.rs
+++ b/crates/node/src/engine/arrivals.rs
@@ -7,7 +7,7 @@
 use crate::engine::input::Input;
 use crate::keys::{TryRejected, digest};
 use crate::log;
-use crate::request::{Answer, Label, Reply, ReplyTo, Work};
+use crate::request::{Answer, Key, Label, Reply, ReplyTo, Work};
 use crate::upgrade::claims::{Claims, Placement};
 use jaspershunt::{Event, Outcome, Request, RequestId};
 use jaspershunt_routes::trial::RequestEnd as Tried;
@@ -19,7 +19,7 @@
 impl Engine {
     pub(super) fn arrive(&mut self, id: RequestId, mut work: Work, reply: ReplyTo) {
         self.adjust_late_arrival(&mut work);
-        let goes = if self.claims == Claims::Owned { Placement::Local } else { self.route_try(&work) };
+        let goes = self.placement_of(&work);
         if goes == Placement::Remote {
             return self.relay(id, work, reply);
         }
@@ -47,6 +47,32 @@
         }
     }
 
+    /// Handles a try that its connection has no room to keep: turns it away, unless this process or another one
+    /// knows its key. Such a try only takes the place of the one before or gets the result of its key's run.
+    pub(super) fn arrive_without_room(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
+        let is_known = work.key.as_ref().is_some_and(|key| self.keys.contains(key));
+        if is_known || self.placement_of(&work) != Placement::Local {
+            return self.arrive(id, work, reply);
+        }
+        let answer = self.refusal(work.key.as_ref(), self.settings.max_stay_away);
+        self.channels.desk.counts.borrow_mut().taken(&self.settings.classes[work.class].name);
+        self.count_end(work.class, Some(&answer));
+        reply.send(Reply::new(answer, self.caller_feedback()));
+    }
+
+    fn placement_of(&mut self, work: &Work) -> Placement {
+        if self.claims == Claims::Owned { Placement::Local } else { self.route_try(work) }
+    }
+
+    /// The answer to a try that is turned away. A refusal promises that no try of the request ran; where one of
+    /// its key ran here, the answer is a failure, which promises nothing.
+    pub(super) fn refusal(&self, key: Option<&Key>, stay_away: f64) -> Answer {
+        if key.is_some_and(|key| self.keys.run_state(key).is_some()) {
+            return Answer::Failed;
+        }
+        Answer::Refused { stay_away, last: false }
+    }
+
     /// Whether another request of this class or tenant would exceed the route table's limits. They count all
     /// in-flight requests, whichever table these began with, and those whose callers have left as long as
     /// they run.
--- a/crates/node/src/engine/input.rs
+++ b/crates/node/src/engine/input.rs
@@ -25,6 +25,15 @@
         /// Where its reply goes.
         reply: ReplyTo,
     },
+    /// A try of a keyed request was read for which there is no room: it is turned away unless its key is known.
+    WorkWithoutRoom {
+        /// Its id in this process.
+        id: RequestId,
+        /// The try.
+        work: Work,
+        /// Where its reply goes.
+        reply: ReplyTo,
+    },
     /// All requests that were read under the settings before this change have been handled.
     SettingsReached {
         /// The number of the change.
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -243,6 +243,32 @@
     });
 }
 
+/// Guards against a refusal, for lack of room, of a keyed try whose request runs or ran.
+#[test]
+fn a_try_without_room_is_refused_only_while_its_key_is_unknown() {
+    paused(async {
+        let mut rig = Rig::new();
+        let without_room = |rig: &Rig, id| match rig.work(id, 1, 0.0) {
+            Input::Work { id, work, reply } => Input::WorkWithoutRoom { id, work, reply },
+            other => other,
+        };
+        let unknown = without_room(&rig, 1);
+        rig.engine.step([unknown]);
+        assert_eq!(rig.answers(), [(1, Answer::Refused { stay_away: 1.0, last: false })]);
+        assert_eq!(rig.commands(), Vec::<String>::new());
+        let first = rig.work(2, 1, 0.0);
+        rig.engine.step([first]);
+        let running = without_room(&rig, 3);
+        rig.engine.step([running]);
+        assert_eq!((rig.commands(), rig.answers()), (vec!["apply 2".to_string()], vec![]));
+        let end = rig.value(2, RunEnd::Done(vec![7]));
+        let done = without_room(&rig, 4);
+        rig.engine.step([end, done]);
+        assert_eq!(rig.answers(), [3, 2, 4].map(|id| (id, served(&[7]))));
+        assert!(rig.commands().is_empty());
+    });
+}
+
 #[test]
 fn the_engine_keeps_a_key_from_running_twice_or_being_refused_after_its_run() {
     paused(async {
--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -1,8 +1,11 @@
 //! Connections of balancers: read FastCGI requests, submit them to the engine, and write the answers in the
 //! order in which the engine gives them.
 
-use super::records::{FramingError, Record, next_record, pairs, put_reply};
-use super::requests::{Budget, CompleteRequest, MAX_OPEN, MAX_PARAMS, Requests, Reservation, Step};
+use super::memory::{Budget, RequestBudgets, Reservation};
+use super::records::{
+    FramingError, ProtocolStatus, Record, leading_pairs, next_record, pairs, put_end, put_reply,
+};
+use super::requests::{CompleteRequest, MAX_AWAITED, MAX_PARAMS, Requests, Step, UnfinishedRequest};
 use crate::config::{Config, NamedSettings};
 use crate::engine::IdlePolicy;
 use crate::engine::input::Input;
@@ -72,7 +75,7 @@
     /// The current settings with the names of classes and tenants.
     pub facts: watch::Receiver<Rc<NamedSettings>>,
     /// Bytes of requests, from their reading until their answer.
-    pub request_budget: Budget,
+    pub request_budgets: RequestBudgets,
     /// Bytes of answers not yet written.
     pub output_budget: Budget,
     /// Maximum number of open connections.
@@ -240,7 +243,10 @@
         Connections {
             engine,
             facts,
-            request_budget: Budget::new(config.bounds.requests),
+            request_budgets: RequestBudgets::new(
+                config.bounds.requests,
+                config.bounds.connections + CLOSING_RESERVE,
+            ),
             output_budget: Budget::new(config.bounds.unwritten),
             max_connections: config.bounds.connections,
             idle,
@@ -409,10 +415,10 @@
         status: Rc<ConnectionStatus>,
         passed: PassedState,
     ) -> Connection {
-        // One slot per request that may be open, so that sending a reply never waits.
-        let (reply_to, replies) = mpsc::channel(MAX_OPEN);
-        let requests = Requests::new(shared.request_budget.clone());
-        let input_room = Reservation::new(shared.request_budget.clone());
+        // One slot per request that may wait for a reply, so that sending one never waits.
+        let (reply_to, replies) = mpsc::channel(MAX_AWAITED);
+        let requests = Requests::new(shared.request_budgets.of_connection());
+        let input_room = Reservation::new(shared.request_budgets.unfinished.clone());
         let now = Instant::now();
         Connection {
             stream,
@@ -651,17 +657,46 @@
         Ok(())
     }
 
-    /// Stops reading. Partial requests are answered as never run, since the peer may have sent the rest of
-    /// them by now.
+    /// Stops reading. Partial requests are answered, since the peer may have sent the rest of them by now.
     fn close_unfinished(&mut self) {
         self.closing = true;
         let before = self.output.len();
-        self.requests.refuse_unfinished(&mut self.output);
+        for request in self.requests.take_unfinished() {
+            self.answer_unfinished(&request);
+        }
         let more = self.output.len() - before;
         self.shared.output_budget.take_beyond(more);
         self.reserved += more;
     }
 
+    /// Answers a request that is not read to its end, and so does not run. An earlier try may have run, so that it
+    /// may only be refused if it is known to have no key.
+    fn answer_unfinished(&mut self, request: &UnfinishedRequest) {
+        if self.is_known_unkeyed(&request.params) {
+            self.refuse(request.id);
+        } else {
+            put_reply(&mut self.output, request.id, &Reply::new(Answer::Failed, None));
+            let close = self.requests.close(request.id);
+            self.close_if(close);
+        }
+    }
+
+    /// Whether the parameters, as far as they were read, show that the request has no key.
+    fn is_known_unkeyed(&self, params: &[u8]) -> bool {
+        let pairs = leading_pairs(params);
+        let path = pairs.iter().find(|(name, _)| *name == SCRIPT_NAME).map(|(_, value)| *value);
+        let path = path.map(|path| std::str::from_utf8(path).unwrap_or_default());
+        let facts = self.shared.facts.borrow();
+        !request::may_be_keyed(path, &facts.settings, &facts.names)
+    }
+
+    /// Refuses a request of which no try can have run.
+    fn refuse(&mut self, id: u16) {
+        put_end(&mut self.output, id, ProtocolStatus::Overloaded);
+        let close = self.requests.close(id);
+        self.close_if(close);
+    }
+
     /// Shuts down the sending side and discards input for a short time, so that a peer that still sends gets
     /// its answers.
     async fn linger(&mut self) {
@@ -754,7 +789,7 @@
             }
             Step::Complete(whole) => {
                 self.stray = 0;
-                self.submit(whole).await;
+                self.submit(whole).await?;
                 if self.status.used.get() {
                     self.waiting_since = None;
                 }
@@ -773,12 +808,17 @@
                 self.shared.log_peer_fault(self.peer, &"a request exceeds the size limit");
                 self.answer(id, &Reply::new(Answer::Bad, None))?;
             }
+            Step::Unreadable(request) => {
+                self.shared.log_peer_fault(self.peer, &"there is no room to read a request");
+                self.answer_unfinished(&request);
+                self.reserve()?;
+            }
             Step::Ended { close } => self.close_if(close),
         }
         Ok(())
     }
 
-    async fn submit(&mut self, whole: CompleteRequest) {
+    async fn submit(&mut self, whole: CompleteRequest) -> Result<(), End> {
         let reply = ReplyTo::new(self.reply_to.clone(), whole.id);
         let shared = &self.shared;
         match parse_request(&whole.params, whole.body, shared) {
@@ -786,6 +826,11 @@
                 self.status.used.set(true);
                 let _ = shared.engine.send(Input::Check { reply }).await;
             }
+            Ok(PeerRequest::Work(work)) if !whole.has_room && work.key.is_none() => {
+                self.status.used.set(true);
+                self.refuse(whole.id);
+                self.reserve()?;
+            }
             Ok(PeerRequest::Work(work)) => {
                 self.status.used.set(true);
                 let id = RequestId(shared.last_id.get() + 1);
@@ -798,13 +843,18 @@
                         samples.tell(Seen::Asked { peer: self.peer, client, gap });
                     }
                 }
-                let _ = shared.engine.send(Input::Work { id, work, reply }).await;
+                let input = match whole.has_room {
+                    true => Input::Work { id, work, reply },
+                    false => Input::WorkWithoutRoom { id, work, reply },
+                };
+                let _ = shared.engine.send(input).await;
             }
             Err(problem) => {
                 shared.log_peer_fault(self.peer, &problem);
                 reply.send(Reply::new(Answer::Bad, None));
             }
         }
+        Ok(())
     }
 
     /// Writes the only answer to a request.
@@ -859,6 +909,9 @@
     }
 }
 
+/// The parameter that holds the path.
+const SCRIPT_NAME: &[u8] = b"SCRIPT_NAME";
+
 /// Whether a parameter is the CGI form of a header, such as `HTTP_X_ORG` for `X-Org`.
 fn is_cgi_name(param: &[u8], header: &str) -> bool {
     let cgi = |b: u8| if b == b'-' { b'_' } else { b.to_ascii_uppercase() };
@@ -880,16 +933,16 @@
     let Some(pairs) = pairs(params) else {
         return Err(BadRequest("its parameters are truncated".to_string()));
     };
-    let param = |name: &str| {
-        let (_, value) = pairs.iter().find(|(n, _)| *n == name.as_bytes())?;
+    let param = |name: &[u8]| {
+        let (_, value) = pairs.iter().find(|(n, _)| *n == name)?;
         std::str::from_utf8(value).ok()
     };
     let field = |name: &str| {
         let (_, value) = pairs.iter().find(|(n, _)| is_cgi_name(n, name))?;
         std::str::from_utf8(value).ok()
     };
-    let path = param("SCRIPT_NAME").unwrap_or_default();
-    let method = param("REQUEST_METHOD").unwrap_or_default();
+    let path = param(SCRIPT_NAME).unwrap_or_default();
+    let method = param(b"REQUEST_METHOD").unwrap_or_default();
     let facts = shared.facts.borrow();
     request::read(path, method, field, body, &facts.settings, &facts.names)
 }
--- a/crates/node/src/fastcgi/records.rs
+++ b/crates/node/src/fastcgi/records.rs
@@ -128,6 +128,12 @@
     all.ok()
 }
 
+/// Decodes the names and values that are whole, up to the first that is truncated or exceeds the input.
+pub fn leading_pairs(bytes: &[u8]) -> Vec<(&[u8], &[u8])> {
+    let mut input = bytes;
+    std::iter::from_fn(|| pair(&mut input).ok()).collect()
+}
+
 /// Appends a name-value pair.
 pub fn put_pair(out: &mut Vec<u8>, name: &[u8], value: &[u8]) {
     for part in [name, value] {
--- a/crates/node/src/fastcgi/requests.rs
+++ b/crates/node/src/fastcgi/requests.rs
@@ -1,80 +1,20 @@
 //! Assembles the requests of one connection from its records, and answers the records that need no decision.
+//!
+//! Nothing is refused here: a refusal promises that no try of the request ran, and only the engine knows that.
 
+use super::memory::{Booking, RequestMemory};
 use super::records::*;
 use crate::request::MAX_BODY_BYTES;
-use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::rc::Rc;
 
 /// Maximum number of open requests per connection.
 pub const MAX_OPEN: usize = 32;
+/// Maximum number of requests per connection that wait for a reply: the open ones, and as many again that were
+/// begun beyond that limit or aborted.
+pub const MAX_AWAITED: usize = 2 * MAX_OPEN;
 /// Maximum bytes of parameters of one request. The parameters used here take a tenth of that.
 pub const MAX_PARAMS: usize = 8 * 1024;
 
-/// Byte budget shared by all connections, so that no number of peers can exhaust the memory.
-#[derive(Clone, Debug)]
-pub struct Budget {
-    used: Rc<Cell<usize>>,
-    limit: usize,
-}
-
-impl Budget {
-    /// Creates an unused budget.
-    pub fn new(limit: usize) -> Budget {
-        Budget { used: Rc::default(), limit }
-    }
-
-    /// Reserves bytes; returns whether they fit.
-    pub fn take(&self, bytes: usize) -> bool {
-        let used = self.used.get() + bytes;
-        let fits = used <= self.limit;
-        if fits {
-            self.used.set(used);
-        }
-        fits
-    }
-
-    /// Reserves bytes even beyond the limit.
-    pub fn take_beyond(&self, bytes: usize) {
-        self.used.set(self.used.get() + bytes);
-    }
-
-    /// Releases reserved bytes.
-    pub fn give(&self, bytes: usize) {
-        self.used.set(self.used.get().saturating_sub(bytes));
-    }
-}
-
-/// Reservation of bytes of a budget, released on drop.
-#[derive(Debug)]
-pub struct Reservation {
-    budget: Budget,
-    taken: usize,
-}
-
-impl Reservation {
-    /// Creates an empty reservation.
-    pub fn new(budget: Budget) -> Reservation {
-        Reservation { budget, taken: 0 }
-    }
-
-    /// Grows or shrinks the reservation to this many bytes; returns whether they fit.
-    pub fn set(&mut self, bytes: usize) -> bool {
-        if bytes > self.taken && !self.budget.take(bytes - self.taken) {
-            return false;
-        }
-        self.budget.give(self.taken.saturating_sub(bytes));
-        self.taken = bytes;
-        true
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.budget.give(self.taken);
-    }
-}
-
 /// A completely read request.
 #[derive(Debug, PartialEq, Eq)]
 pub struct CompleteRequest {
@@ -84,6 +24,17 @@
     pub params: Vec<u8>,
     /// The body.
     pub body: Vec<u8>,
+    /// Whether there is room to keep it until it has run. Without room it is only looked up whether its key ran.
+    pub has_room: bool,
+}
+
+/// A request that will not be read to its end.
+#[derive(Debug, PartialEq, Eq)]
+pub struct UnfinishedRequest {
+    /// The request id on the connection.
+    pub id: u16,
+    /// The encoded parameters, as far as they were read.
+    pub params: Vec<u8>,
 }
 
 /// Result of processing a record.
@@ -97,6 +48,8 @@
     Stray,
     /// A partial request exceeds the size limit. It is to be answered; its further records are stray.
     Oversize(u16),
+    /// There is no room to read a request to its end. It is to be answered; its further records are stray.
+    Unreadable(UnfinishedRequest),
     /// The caller aborted a complete request.
     Aborted(u16),
     /// A request ended before it was complete; the records written to `out` close it.
@@ -113,20 +66,24 @@
     body: Vec<u8>,
     body_ended: bool,
     whole: bool,
-    /// Bytes reserved in the budget until the request is answered, since its content is kept until then.
-    booked: usize,
+    /// Whether it was begun while `MAX_OPEN` others were open.
+    excess: bool,
+    /// Whether the caller has aborted it: it no longer counts as open, but its id is still in use.
+    aborted: bool,
+    /// Memory reserved until the request is answered, since its content is kept until then.
+    booking: Booking,
 }
 
 /// The requests that are open on one connection.
 pub struct Requests {
     open: BTreeMap<u16, OpenRequest>,
-    budget: Budget,
+    memory: RequestMemory,
 }
 
 impl Requests {
     /// Creates the state with no open requests.
-    pub fn new(budget: Budget) -> Requests {
-        Requests { open: BTreeMap::new(), budget }
+    pub fn new(memory: RequestMemory) -> Requests {
+        Requests { open: BTreeMap::new(), memory }
     }
 
     /// Returns the number of open requests.
@@ -147,18 +104,15 @@
     /// Closes an answered request; returns whether the connection is to be closed after it.
     pub fn close(&mut self, id: u16) -> bool {
         let Some(open) = self.open.remove(&id) else { return false };
-        self.budget.give(open.booked);
+        self.memory.release(open.booking);
         !open.keep_conn
     }
 
-    /// Closes the partial requests and writes to `out` that they never ran.
-    pub fn refuse_unfinished(&mut self, out: &mut Vec<u8>) {
-        let unfinished: Vec<u16> =
-            self.open.iter().filter(|(_, open)| !open.whole).map(|(id, _)| *id).collect();
-        for id in unfinished {
-            put_end(out, id, ProtocolStatus::Overloaded);
-            self.close(id);
-        }
+    /// Returns the partial requests, which stay open until they are closed. Further records of them are not
+    /// expected.
+    pub fn take_unfinished(&mut self) -> Vec<UnfinishedRequest> {
+        let unfinished = self.open.iter_mut().filter(|(_, open)| !open.whole);
+        unfinished.map(|(id, open)| UnfinishedRequest::take(*id, open)).collect()
     }
 
     /// Processes a record. What can be answered at once is written to `out`.
@@ -176,25 +130,32 @@
         // The protocol requires that records of closed requests are ignored.
         let Some(open) = self.open.get_mut(&record.id) else { return Ok(Step::Stray) };
         match record.kind {
-            kind::ABORT_REQUEST if open.whole => return Ok(Step::Aborted(record.id)),
+            kind::ABORT_REQUEST if open.whole => {
+                open.aborted = true;
+                return Ok(Step::Aborted(record.id));
+            }
             kind::ABORT_REQUEST => {
                 put_end(out, record.id, ProtocolStatus::RequestComplete);
                 return Ok(Step::Ended { close: self.close(record.id) });
             }
             kind::PARAMS if !open.params_ended => {
                 open.params_ended = record.content.is_empty();
-                match open.append(|open| &mut open.params, record.content, MAX_PARAMS, &self.budget) {
+                match open.append(|open| &mut open.params, record.content, MAX_PARAMS, &self.memory) {
                     AppendResult::Fits => {}
                     AppendResult::Oversize => return Ok(Step::Oversize(record.id)),
-                    AppendResult::OutOfMemory => return Ok(self.overloaded(record.id, out)),
+                    AppendResult::OutOfMemory => {
+                        return Ok(Step::Unreadable(UnfinishedRequest::take(record.id, open)));
+                    }
                 }
             }
             kind::STDIN if !open.body_ended => {
                 open.body_ended = record.content.is_empty();
-                match open.append(|open| &mut open.body, record.content, MAX_BODY_BYTES, &self.budget) {
+                match open.append(|open| &mut open.body, record.content, MAX_BODY_BYTES, &self.memory) {
                     AppendResult::Fits => {}
                     AppendResult::Oversize => return Ok(Step::Oversize(record.id)),
-                    AppendResult::OutOfMemory => return Ok(self.overloaded(record.id, out)),
+                    AppendResult::OutOfMemory => {
+                        return Ok(Step::Unreadable(UnfinishedRequest::take(record.id, open)));
+                    }
                 }
             }
             _ => return Ok(Step::Stray),
@@ -203,8 +164,9 @@
             return Ok(Step::Nothing);
         }
         open.whole = true;
+        let has_room = !open.excess && self.memory.keep(&mut open.booking);
         let (params, body) = (std::mem::take(&mut open.params), std::mem::take(&mut open.body));
-        Ok(Step::Complete(CompleteRequest { id: record.id, params, body }))
+        Ok(Step::Complete(CompleteRequest { id: record.id, params, body, has_room }))
     }
 
     fn begin(&mut self, record: &Record, out: &mut Vec<u8>) -> Result<Step, FramingError> {
@@ -217,10 +179,8 @@
             put_end(out, record.id, ProtocolStatus::UnknownRole);
             return Ok(Step::Ended { close: !begin.keep_conn });
         }
-        if self.open.len() >= MAX_OPEN {
-            put_end(out, record.id, ProtocolStatus::Overloaded);
-            return Ok(Step::Ended { close: !begin.keep_conn });
-        }
+        let excess = self.open.values().filter(|open| !open.aborted).count() >= MAX_OPEN;
+        let is_full = self.open.len() + 1 >= MAX_AWAITED;
         let open = OpenRequest {
             keep_conn: begin.keep_conn,
             params: Vec::new(),
@@ -228,23 +188,29 @@
             body: Vec::new(),
             body_ended: false,
             whole: false,
-            booked: 0,
+            excess,
+            aborted: false,
+            booking: Booking::default(),
         };
         self.open.insert(record.id, open);
+        if is_full {
+            return Ok(Step::Unreadable(UnfinishedRequest { id: record.id, params: Vec::new() }));
+        }
         Ok(Step::Nothing)
     }
-
-    /// Closes a request that exceeds the byte budget; it never runs.
-    fn overloaded(&mut self, id: u16, out: &mut Vec<u8>) -> Step {
-        put_end(out, id, ProtocolStatus::Overloaded);
-        Step::Ended { close: self.close(id) }
-    }
 }
 
 impl Drop for Requests {
     fn drop(&mut self) {
-        let bytes = self.open.values().map(|open| open.booked).sum();
-        self.budget.give(bytes);
+        for open in std::mem::take(&mut self.open).into_values() {
+            self.memory.release(open.booking);
+        }
+    }
+}
+
+impl UnfinishedRequest {
+    fn take(id: u16, open: &mut OpenRequest) -> UnfinishedRequest {
+        UnfinishedRequest { id, params: std::mem::take(&mut open.params) }
     }
 }
 
@@ -253,26 +219,25 @@
     Fits,
     /// The part exceeds its size limit.
     Oversize,
-    /// The byte budget is exhausted.
+    /// There is no memory for it.
     OutOfMemory,
 }
 
 impl OpenRequest {
-    /// Appends to a part of a request, within its size limit and the budget.
+    /// Appends to a part of a request, within its size limit and the memory.
     fn append(
         &mut self,
         part: fn(&mut OpenRequest) -> &mut Vec<u8>,
         more: &[u8],
         limit: usize,
-        budget: &Budget,
+        memory: &RequestMemory,
     ) -> AppendResult {
         if part(self).len() + more.len() > limit {
             return AppendResult::Oversize;
         }
-        if !budget.take(more.len()) {
+        if !memory.book(&mut self.booking, more.len()) {
             return AppendResult::OutOfMemory;
         }
-        self.booked += more.len();
         part(self).extend(more);
         AppendResult::Fits
     }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -169,6 +169,15 @@
     }))
 }
 
+/// Whether a request with this path, as far as known, may be of a class whose requests have a key.
+pub fn may_be_keyed(path: Option<&str>, settings: &Settings, names: &Names) -> bool {
+    let is_keyed = |class: usize| matches!(settings.classes[class].repeat, Repeat::Keyed(_));
+    let Some(path) = path else {
+        return names.classes().filter_map(|name| names.class(name).ok()).any(is_keyed);
+    };
+    path.strip_prefix(WORK_PATH).and_then(|name| names.class(name).ok()).is_some_and(is_keyed)
+}
+
 /// A final answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
