Look a key up before a try is refused at a limit of the route table

What callers saw: with a limit for a keyed class in a team's route table, a next try of a request that runs or ran was refused while the class was at its limit, and the balancer had it run at another nodo.

Cause: Engine::arrive compared the limits before it looked the key up.

Evidence: a_try_of_a_key_that_runs_is_not_refused_at_the_limit_of_its_class on the code before: [(2, Refused), (3, Refused)] in place of [(2, Refused)], with the run of try 3's key going on.

Change: a try whose key is known passes the limits, as it adds no work: it takes the place of the one before or gets its result. Refusals of tries that never reached the module come from one function, Engine::refusal, which answers with a failure where a try of the key ran. Why it works: whichever check turns a try away, the key is looked up where the answer is made. For the places other than the limits no fault was shown.

--- a/crates/node/src/engine/arrivals.rs
+++ b/crates/node/src/engine/arrivals.rs
@@ -28,14 +28,14 @@
         let admitted = match goes {
             Placement::Rejected => Err((reply, Answer::Failed)),
             // Checked before the request is recorded in the fleet: work taken over from another nodo is
-            // always run.
-            _ if self.exceeds_route_limits(&work) => {
+            // always run. A try whose key is known adds no work.
+            _ if !self.is_key_known(&work) && self.exceeds_route_limits(&work) => {
                 if let Some(table) = &self.table {
                     // Guards against a table that refuses most requests and is judged by the few it admits.
                     self.channels.desk.tally.borrow_mut().record(table, Tried::Failed);
                 }
                 let stay_away = self.settings.max_stay_away.min(ROUTE_LIMIT_STAY_AWAY_SECONDS);
-                Err((reply, Answer::Refused { stay_away, last: false }))
+                Err((reply, self.refusal(work.key.as_ref(), stay_away)))
             }
             _ if self.needs_record(&work) => return self.offer(id, work, reply),
             _ => self.admit(id, work, reply),
@@ -50,8 +50,7 @@
     /// Handles a try that its connection has no room to keep: turns it away, unless this process or another one
     /// knows its key. Such a try only takes the place of the one before or gets the result of its key's run.
     pub(super) fn arrive_without_room(&mut self, id: RequestId, work: Work, reply: ReplyTo) {
-        let is_known = work.key.as_ref().is_some_and(|key| self.keys.contains(key));
-        if is_known || self.placement_of(&work) != Placement::Local {
+        if self.is_key_known(&work) || self.placement_of(&work) != Placement::Local {
             return self.arrive(id, work, reply);
         }
         let answer = self.refusal(work.key.as_ref(), self.settings.max_stay_away);
@@ -64,6 +63,11 @@
         if self.claims == Claims::Owned { Placement::Local } else { self.route_try(work) }
     }
 
+    /// Whether another try of this one's key is queued here, runs here, or ran.
+    fn is_key_known(&self, work: &Work) -> bool {
+        work.key.as_ref().is_some_and(|key| self.keys.contains(key))
+    }
+
     /// The answer to a try that is turned away. A refusal promises that no try of the request ran; where one of
     /// its key ran here, the answer is a failure, which promises nothing.
     pub(super) fn refusal(&self, key: Option<&Key>, stay_away: f64) -> Answer {
@@ -129,8 +133,7 @@
     ) -> Result<(), (ReplyTo, Answer)> {
         if self.module.is_none() {
             // The nodo cannot run requests before the interpreter is up.
-            let stay_away = self.settings.max_stay_away;
-            return Err((reply, Answer::Refused { stay_away, last: false }));
+            return Err((reply, self.refusal(work.key.as_ref(), self.settings.max_stay_away)));
         }
         if self.by_uid.contains_key(&work.uid) {
             return Err((reply, Answer::Bad));
@@ -166,8 +169,7 @@
                 }
                 // A key that cannot be remembered could run twice.
                 Err(TryRejected::Full) => {
-                    let stay_away = self.settings.max_stay_away;
-                    return Err((reply, Answer::Refused { stay_away, last: false }));
+                    return Err((reply, self.refusal(Some(key), self.settings.max_stay_away)));
                 }
             }
         }
--- a/crates/node/src/engine/handover/tries.rs
+++ b/crates/node/src/engine/handover/tries.rs
@@ -36,7 +36,7 @@
         let room = handover.waiting.len() < MAX_WAITING && left > 0.0;
         let (Some(way), true, Some(file)) = (way, room, handover.classes.get(&class.name)) else {
             // Nothing of this try runs; another nodo may have its key.
-            let answer = Answer::Refused { stay_away: self.settings.max_stay_away, last: false };
+            let answer = self.refusal(Some(&key), self.settings.max_stay_away);
             return self.answer_outside_module(work.class, Some(reply), answer);
         };
         let offer = Offer {
@@ -74,7 +74,7 @@
             _ if known => self.answer_outside_module(waits.work.class, Some(waits.reply), Answer::Failed),
             // Nothing of this try runs; another nodo may have its key.
             _ => {
-                let answer = Answer::Refused { stay_away: self.settings.max_stay_away, last: false };
+                let answer = self.refusal(Some(key), self.settings.max_stay_away);
                 self.answer_outside_module(waits.work.class, Some(waits.reply), answer);
             }
         }
@@ -94,9 +94,7 @@
                 }
                 Refusal::OtherBody => Answer::Bad,
                 // Nothing of this try runs; another nodo may have its key.
-                Refusal::NotPresent => {
-                    Answer::Refused { stay_away: self.settings.max_stay_away, last: false }
-                }
+                Refusal::NotPresent => self.refusal(Some(key), self.settings.max_stay_away),
                 _ => Answer::Failed,
             };
             self.answer_outside_module(waits.work.class, Some(waits.reply), answer);
@@ -112,7 +110,7 @@
         let admitted = match full {
             Some(Full::Run) => self.admit(id, work, reply),
             // Nothing of it ran, here or elsewhere.
-            _ => Err((reply, Answer::Refused { stay_away: self.settings.max_stay_away, last: false })),
+            _ => Err((reply, self.refusal(work.key.as_ref(), self.settings.max_stay_away))),
         };
         if let Err((reply, answer)) = admitted {
             self.answer_outside_module(class, Some(reply), answer);
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -677,6 +677,32 @@
     });
 }
 
+/// Guards against a refusal of a keyed try whose request runs or ran, because its class is at the table's limit.
+#[test]
+fn a_try_of_a_key_that_runs_is_not_refused_at_the_limit_of_its_class() {
+    use jaspershunt_routes::{Field, Kind, Table, Thing, Value};
+    paused(async {
+        let mut rig = Rig::new();
+        let limit = (Thing::new(Kind::Class, "sign"), [(Field::Limit, Value::Number(1))].into());
+        rig.engine.step([Input::RouteTable(Snapshot::new(1, false, 0, Table { things: [limit].into() }))]);
+        let first = rig.work(1, 1, 0.0);
+        rig.engine.step([first]);
+        let other = match rig.work(2, 1, 0.0) {
+            Input::Work { id, work, reply } => {
+                Input::Work { id, work: Work { key: Some(Key::from("another key")), ..work }, reply }
+            }
+            other => other,
+        };
+        let next = rig.work(3, 1, 0.0);
+        rig.engine.step([other, next]);
+        assert_eq!(rig.answers(), [(2, Answer::Refused { stay_away: 1.0, last: false })]);
+        let end = rig.value(1, RunEnd::Done(vec![7]));
+        rig.engine.step([end]);
+        assert_eq!(rig.answers(), [3, 1].map(|id| (id, served(&[7]))));
+        assert_eq!(rig.commands(), ["apply 1"]);
+    });
+}
+
 /// Guards against a table that is judged by requests from before its trial, or reloaded when a trial begins
 /// or ends elsewhere.
 #[test]
