Count the time of a replaced process from the classes that the settings name

Cause: server::run took the longest deadline from all classes of the merged settings, which keep the former classes in their places although no name refers to them. The process counted with 3 s and 0.7 s where the platform counts with 1.5 s and 0.7 s, and stopped reading busy connections 1 s before an end that lay after its kill.

Evidence: a_replaced_process_ends_in_time_after_a_reload_with_shorter_deadlines on the code before: `ended: Err(Elapsed), 7 of 40 lost`, in the time that the platform gives (1.5 s and 0.7 s).

Change: NamedSettings::longest_deadline looks at the named classes alone. Why it works: these are the ones that the platform knows; what is open under a former class is answered before the end as anything else that takes too long. The other places that look at all classes keep keys and windows, and have to count the former ones.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -78,6 +78,14 @@
     pub names: Names,
 }
 
+impl NamedSettings {
+    /// The longest deadline of the classes that requests may name, in seconds.
+    pub fn longest_deadline(&self) -> f64 {
+        let named = self.names.classes().filter_map(|name| self.names.class(name).ok());
+        named.map(|class| self.settings.classes[class].deadline).fold(0.0, f64::max)
+    }
+}
+
 /// Addresses of the services that a nodo uses. They may change while it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Peers {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -21,8 +21,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Maximum time from SIGTERM to the kill of a process that a later one took over from: the longest deadline,
-/// or this if that is longer, plus `RETIRE_SLACK`. Both are set by the operators.
+/// Maximum time from SIGTERM to the kill of a process that a later one took over from: the longest deadline in
+/// force, or this if that is longer, plus `RETIRE_SLACK`. Both are set by the operators.
 const MAX_RETIRE_TIME: Duration = Duration::from_secs(3);
 /// Added to the time until the kill.
 const RETIRE_SLACK: Duration = Duration::from_millis(700);
@@ -290,8 +290,9 @@
     }
     // Another process serves, or will: this one reports nothing for the nodo.
     if idle_in.borrow().hand_over || desk.lost.get() {
-        let longest = facts.borrow().settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-        retire(&config.name, longest, notified_at, &engine_in, &connections, &idle_in, &mut owed).await;
+        let longest_deadline = facts.borrow().longest_deadline();
+        retire(&config.name, longest_deadline, notified_at, &engine_in, &connections, &idle_in, &mut owed)
+            .await;
         return Ok(());
     }
     let end = notified_at + config.stop.saturating_sub(EXIT_MARGIN);
@@ -333,16 +334,17 @@
 /// new requests go to the later process.
 async fn retire(
     name: &str,
-    longest: f64,
+    longest_deadline: f64,
     notified_at: Instant,
     engine: &mpsc::Sender<Input>,
     connections: &Connections,
     idle: &watch::Sender<IdlePolicy>,
     owed: &mut watch::Receiver<usize>,
 ) {
-    let end =
-        notified_at + Duration::from_secs_f64(longest.min(MAX_RETIRE_TIME.as_secs_f64())) + RETIRE_SLACK
-            - RETIRE_MARGIN;
+    let end = notified_at
+        + Duration::from_secs_f64(longest_deadline.min(MAX_RETIRE_TIME.as_secs_f64()))
+        + RETIRE_SLACK
+        - RETIRE_MARGIN;
     log!("{name} leaves the work to a later start");
     let done = async {
         loop {
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -102,6 +102,53 @@
     });
 }
 
+/// Guards against a replaced process that counts its time with the deadlines of classes that the settings no longer
+/// name, and is killed under open requests: they were shorter since a reload.
+#[test]
+fn a_replaced_process_ends_in_time_after_a_reload_with_shorter_deadlines() {
+    const DEADLINE: Duration = Duration::from_millis(1500);
+    // The platform kills a replaced process this long after the longest deadline.
+    const KILL_SLACK: Duration = Duration::from_millis(700);
+    local(async {
+        let mut site = nodo("shorter").await;
+        let shorter =
+            site.settings.replace(r#""targetS":2,"deadlineS":3"#, r#""targetS":1.2,"deadlineS":1.5"#);
+        site.settings = site.settings.replace(r#""deadlineS":3"#, r#""deadlineS":9"#);
+        let mut earlier = site.start().await.unwrap();
+        let file = site.folder.join("config1.json");
+        let text = std::fs::read_to_string(&file).unwrap().replace(&site.settings, &shorter);
+        std::fs::write(&file, text).unwrap();
+        earlier.process.hang_up();
+        earlier.process.wait_for_output("new settings are in use").await;
+        site.settings = shorter;
+        // Each request takes 0.7 s, so that the connection always has open ones.
+        let balancer = Balancer::new(site.address, 7, None);
+        let sending = spawn_local(async move {
+            let mut answers = Vec::new();
+            for n in 0..40 {
+                let (balancer, key) = (balancer.clone(), format!("shorter-{n}"));
+                answers.push(spawn_local(async move {
+                    balancer.send(&keyed("slow", &key, false), PATIENCE).await
+                }));
+                sleep(Duration::from_millis(100)).await;
+            }
+            let mut statuses = Vec::new();
+            for answer in answers {
+                statuses.push(answer.await.unwrap().status);
+            }
+            statuses
+        });
+        sleep(Duration::from_millis(500)).await;
+        let _later = site.start().await.unwrap();
+        earlier.process.terminate();
+        let ended = timeout(DEADLINE + KILL_SLACK, earlier.process.wait()).await;
+        earlier.process.kill().await;
+        let statuses = sending.await.unwrap();
+        let lost = statuses.iter().filter(|status| **status == 0).count();
+        assert!(ended == Ok(true) && lost == 0, "ended: {ended:?}, {lost} of {} lost", statuses.len());
+    });
+}
+
 /// The result of a run in flight at the earlier process answers the tries that reach the later one.
 #[test]
 fn the_later_process_waits_for_a_key_that_runs_at_the_earlier_one() {
