Let a replaced process take nothing new once its nodo's later process has left

What callers saw: a nodo was told to leave 0.4 s after an upgrade.

Cause: Keeper::keep undid the hand-over and took the right to run back whatever had ended the link, and did not look whether this process had been told to leave itself.

Evidence: a_replaced_process_runs_nothing_new_after_the_later_one_has_left on the code before: `afterwards 0: 200`.

Change: a process that was told to leave and has handed over ends the engine's grace at once, accepts what waits at its listeners, closes them, and closes its connections as they become idle; at its end they close behind their last answers. The accept loop looks at the hand-over before the stop, as a stop while handing over leaves the backlog to the other process, which is gone here. Why it works: the module refuses what arrives after the grace, in the one place that decides this.

Changed with it: where the later process dies beside one that was told to end, new requests are refused until the nodo is started again.

--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -137,6 +137,9 @@
                     self.stop_reporting();
                 }
                 self.partner_lost();
+                if self.channels.desk.leaves.get() && !self.claims.owns() {
+                    self.run_nothing_new();
+                }
             }
             Peer::GiveUp => self.give_up_all(),
         }
@@ -177,6 +180,15 @@
         self.channels.desk.lost_now.notify_waiters();
     }
 
+    /// Ends the grace at once in a process that was told to leave, and whose nodo has no other process any more: when
+    /// that one was told to leave is not known here.
+    fn run_nothing_new(&mut self) {
+        self.grace_until = Some(self.grace_until.map_or(self.now, |until| until.min(self.now)));
+        self.stop_at = self.stop_at.or(Some(self.now + self.stop_timeout.as_secs_f64()));
+        self.module_healthy = false;
+        self.notify_leave();
+    }
+
     // The process that hands over.
 
     /// Hands over all keys to the other process, and with them all new requests, and ownership if this
--- a/crates/node/src/fastcgi/connection.rs
+++ b/crates/node/src/fastcgi/connection.rs
@@ -143,6 +143,8 @@
         // The successor process accepts now.
         if idle.borrow_and_update().hand_over {
             tokio::select! {
+                // A process that retires without a successor accepts the backlog before it stops.
+                biased;
                 Ok(()) = idle.changed() => continue,
                 () = &mut stop => return,
             }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -363,6 +363,8 @@
         idle.send_modify(|idle| idle.stop_reading = true);
         if timeout_at(end - GIVE_UP_MARGIN, &mut done).await.is_err() {
             let _ = engine.send(Input::Peer(Peer::GiveUp)).await;
+            // Without a later process, connections cannot be passed on.
+            idle.send_modify(|idle| idle.close_after_answers = !idle.hand_over);
             let _ = timeout_at(end, &mut done).await;
         }
     }
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -59,6 +59,9 @@
     writer: Writer,
 }
 
+/// Maximum time for accepting the connections that wait at the listeners of a process that retires.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The result of contacting the process that listens at the socket.
 enum Contact {
     Answers(Linked, Box<Message>, Option<OwnedFd>),
@@ -507,6 +510,10 @@
                         () = self.until_lost() => Ok(()),
                     };
                     let is_silent = self.hand_over_ended(&ended).await;
+                    if self.retires(&given) {
+                        drop(acceptor);
+                        return self.stop_serving().await;
+                    }
                     if given.get() || self.desk.lost.get() {
                         drop(acceptor);
                         self.regain(is_silent).await;
@@ -523,11 +530,26 @@
         }
     }
 
+    /// Whether this process was told to leave after it had handed over: it does not serve again, whatever became of
+    /// the other process, which may have left with the nodo.
+    fn retires(&self, given: &Cell<bool>) -> bool {
+        self.desk.leaves.get() && (given.get() || self.desk.lost.get())
+    }
+
+    /// Closes the listeners, whose waiting connections no other process may accept any more, and all connections that
+    /// become idle. The engine runs nothing new.
+    async fn stop_serving(&self) {
+        log!("upgrade: the other process is gone; this one was told to leave and takes nothing new");
+        self.listeners.close(Instant::now() + CLOSE_TIMEOUT).await;
+        self.idle.send_modify(|idle| (idle.limit, idle.permanent) = (Duration::ZERO, true));
+    }
+
     /// Undoes what a handover began; returns whether the other process fell silent.
     async fn hand_over_ended(&self, ended: &io::Result<()>) -> bool {
+        // The engine first: in a process that retires it must know before connections are accepted here again.
+        let _ = self.engine.send(Input::Peer(Peer::Broke)).await;
         self.listeners.front.set_successor(None);
         self.idle.send_modify(|idle| idle.hand_over = false);
-        let _ = self.engine.send(Input::Peer(Peer::Broke)).await;
         match ended {
             Ok(()) => false,
             Err(e) => {
@@ -565,6 +587,11 @@
                     let ended = self.hand_over(link, Some(*first), &given).await;
                     is_silent = self.hand_over_ended(&ended).await;
                 }
+                (TakeoverAction::Acquire { .. }, _) if self.desk.leaves.get() => {
+                    let _ = self.engine.send(Input::Peer(Peer::Broke)).await;
+                    self.stop_serving().await;
+                    return std::future::pending().await;
+                }
                 (TakeoverAction::Acquire { .. }, _) => {
                     is_silent = false;
                     if self.acquire_ownership(false).await {
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -149,6 +149,47 @@
     });
 }
 
+/// Guards against a replaced process that serves again once its nodo has left: the later process was told to leave,
+/// so nothing that comes after that may run anywhere.
+#[test]
+fn a_replaced_process_runs_nothing_new_after_the_later_one_has_left() {
+    const REQUESTS_AFTERWARDS: usize = 20;
+    // The platform kills a replaced process after the longest deadline (3 s here) and 0.7 s.
+    const KILL_AFTER: Duration = Duration::from_millis(3700);
+    local(async {
+        let mut site = nodo("retired").await;
+        let mut earlier = site.start().await.unwrap();
+        let load = Load::start(site.address, PATIENCE);
+        load.wait_for_reads(20).await;
+        // Never ends, so that the earlier process uses all of its time.
+        let held = Balancer::new(site.address, 7, None);
+        let held =
+            spawn_local(
+                async move { held.send(&Request::new("read", b"held by this test"), PATIENCE).await },
+            );
+        while site.runs(b"held by this test") == 0 {
+            sleep(Duration::from_millis(2)).await;
+        }
+        let mut later = site.start().await.unwrap();
+        earlier.process.terminate();
+        let terminated = Instant::now();
+        load.wait_for_reads(20).await;
+        later.process.terminate();
+        assert!(later.process.wait().await, "the later process exits with a failure");
+        let balancer = Balancer::new(site.address, 8, None);
+        for n in 0..REQUESTS_AFTERWARDS {
+            let body = format!("afterwards {n}");
+            let answer = balancer.send(&Request::new("read", body.as_bytes()), PATIENCE).await;
+            assert!(answer.status != 200 && site.runs(body.as_bytes()) == 0, "{body}: {}", answer.status);
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_ne!(held.await.unwrap().status, 0, "the held request has no answer");
+        let ended = timeout(KILL_AFTER.saturating_sub(terminated.elapsed()), earlier.process.wait()).await;
+        assert_eq!(ended, Ok(true), "it does not end before its kill");
+        ends_safely(load, &site).await;
+    });
+}
+
 /// The result of a run in flight at the earlier process answers the tries that reach the later one.
 #[test]
 fn the_later_process_waits_for_a_key_that_runs_at_the_earlier_one() {
