Split the balancers' connections into one connection, all of them, and parameters

connection.rs had grown to 960 lines with three jobs: one connection, what all connections share (accepting, room, budgets), and reading requests from parameters. connections.rs and params.rs have the latter two now. The code is moved as it was; parameters are read with the settings in place of the whole shared state.

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -5,7 +5,7 @@
 use crate::config::{Config, ConfigError, Peers};
 use crate::engine::input::{self, Input, Peer};
 use crate::engine::{self, Channels, Engine, IdlePolicy};
-use crate::fastcgi::connection::Connections;
+use crate::fastcgi::connections::Connections;
 use crate::steering::Steering;
 use crate::upgrade::link::Place;
 use crate::upgrade::ownership::AliveMarker;
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -22,7 +22,7 @@
 use crate::admin::AdminState;
 use crate::engine::IdlePolicy;
 use crate::engine::input::{Input, Peer};
-use crate::fastcgi::connection::{Connections, PassedState, accept};
+use crate::fastcgi::connections::{Connections, PassedState, accept};
 use crate::log;
 use crate::server::listen;
 use claims::{
--- a/crates/node/tests/connection_races.rs
+++ b/crates/node/tests/connection_races.rs
@@ -7,7 +7,7 @@
 use jaspershunt_node::config::NamedSettings;
 use jaspershunt_node::engine::IdlePolicy;
 use jaspershunt_node::engine::input::{Input, QUEUE};
-use jaspershunt_node::fastcgi::connection::{Connections, accept};
+use jaspershunt_node::fastcgi::connections::{Connections, accept};
 use jaspershunt_node::fastcgi::memory::{Budget, RequestBudgets};
 use jaspershunt_node::fastcgi::records::{kind, put_record};
 use jaspershunt_node::request::{Answer, Reply, ReplyTo};
--- a/crates/node/tests/nodo.rs
+++ b/crates/node/tests/nodo.rs
@@ -5,7 +5,7 @@
 use jaspershunt_node::config;
 use jaspershunt_node::engine::IdlePolicy;
 use jaspershunt_node::engine::input::Input;
-use jaspershunt_node::fastcgi::connection::{Connections, PassedState, accept};
+use jaspershunt_node::fastcgi::connections::{Connections, PassedState, accept};
 use jaspershunt_node::fastcgi::records::{kind, put_record};
 use jaspershunt_node::request::{Answer, Reply, ReplyTo};
 use std::io::{BufRead, BufReader};
