--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -458,8 +458,8 @@
     }
 
     /// Runs until the process ends: waits for a later process and hands over to it, takes over from one that
-    /// lost ownership, and yields when this one has lost it. If the later process dies, this one serves as
-    /// before.
+    /// lost ownership, and yields when this one has lost it. If the later process ends, this one serves as
+    /// before, unless it was told to leave.
     ///
     /// While this process itself is still taking over, others are declined.
     pub async fn keep(self, serves: Serving) {
