--- /dev/null
+++ b/review/harness-2/src/cases/mod.rs
@@ -0,0 +1,33 @@
+//! The cases, and what they share.
+
+use crate::interpreter::Interpreter;
+use crate::nodo::{Place, SETTINGS, free_address};
+use crate::{Case, Verdict, http};
+
+mod late_withdrawal;
+
+/// Plays the case of this name.
+pub fn play(name: &str, case: &Case) -> Verdict {
+    match name {
+        "late-withdrawal" => late_withdrawal::play(case),
+        _ => Verdict::NotRun(format!("no case is named {name}")),
+    }
+}
+
+/// The addresses of a nodo whose directory and database are stand-ins.
+pub fn place(case: &Case) -> Place {
+    Place {
+        root: case.root.clone(),
+        folder: case.folder.clone(),
+        listen: free_address(),
+        lookup: http::directory(),
+        db: http::database(),
+        settings: SETTINGS.to_string(),
+        stop_ms: 3200,
+    }
+}
+
+/// How often the body ran, at all interpreters.
+pub fn runs_of(interpreters: &[&Interpreter], body: &str) -> usize {
+    interpreters.iter().flat_map(|one| one.runs()).filter(|run| run.body == body).count()
+}
