--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -4,11 +4,13 @@
 use crate::nodo::{Place, SETTINGS, free_address};
 use crate::{Case, Verdict, http};
 
+mod edit_at_replaced;
 mod late_withdrawal;
 
 /// Plays the case of this name.
 pub fn play(name: &str, case: &Case) -> Verdict {
     match name {
+        "edit-at-replaced" => edit_at_replaced::play(case),
         "late-withdrawal" => late_withdrawal::play(case),
         _ => Verdict::NotRun(format!("no case is named {name}")),
     }
@@ -17,6 +19,8 @@
 /// The addresses of a nodo whose directory and database are stand-ins.
 pub fn place(case: &Case) -> Place {
     Place {
+        name: "n1".to_string(),
+        operator: None,
         root: case.root.clone(),
         folder: case.folder.clone(),
         listen: free_address(),
--- a/review/harness-2/src/nodo.rs
+++ b/review/harness-2/src/nodo.rs
@@ -37,6 +37,10 @@
 /// The addresses of a nodo and its peers.
 #[derive(Clone)]
 pub struct Place {
+    /// The nodo's name.
+    pub name: String,
+    /// The operator's file, if there is one.
+    pub operator: Option<PathBuf>,
     /// The repository's root.
     pub root: PathBuf,
     /// The shared temporary folder.
@@ -69,8 +73,8 @@
     /// The text of a configuration file.
     pub fn config(&self, vm: SocketAddr, admin: SocketAddr) -> String {
         format!(
-            r#"{{"name":"n1","listen":"{}","admin":"{admin}","vm":"{vm}","lookup":"{}","db":"{}","seed":"8c1f30d27a5be964","stop_ms":{},"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"settings":{}}}"#,
-            self.listen, self.lookup, self.db, self.stop_ms, self.settings
+            r#"{{"name":"{}","listen":"{}","admin":"{admin}","vm":"{vm}","lookup":"{}","db":"{}","seed":"8c1f30d27a5be964","stop_ms":{},"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"settings":{}}}"#,
+            self.name, self.listen, self.lookup, self.db, self.stop_ms, self.settings
         )
     }
 
@@ -80,10 +84,14 @@
         let config = self.folder.join(format!("{name}.json"));
         std::fs::write(&config, self.config(vm, admin)).expect("the configuration can be written");
         let log = File::create(self.folder.join(format!("{name}.log"))).expect("a log");
+        let mut run = run_command(&self.root);
+        if let Some(file) = &self.operator {
+            run.push_str(&format!(" serve --operator '{}'", file.display()));
+        }
         let child = Command::new("/bin/sh")
-            .args(["-c", &run_command(&self.root)])
+            .args(["-c", &run])
             .current_dir(&self.root)
-            .env("NODE_NAME", "n1")
+            .env("NODE_NAME", &self.name)
             .env("NODE_LISTEN", self.listen.to_string())
             .env("NODE_ADMIN", admin.to_string())
             .env("NODE_CONFIG", &config)
@@ -101,10 +109,15 @@
 impl Process {
     /// Sends an operator's line; the answer is empty if none comes.
     pub fn call(&self, line: &str) -> String {
+        self.say(line, "")
+    }
+
+    /// Sends an operator's line with what follows it; the answer is empty if none comes.
+    pub fn say(&self, line: &str, more: &str) -> String {
         let mut text = String::new();
         if let Ok(mut stream) = TcpStream::connect(self.admin) {
             let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
-            let _ = stream.write_all(format!("{line}\n").as_bytes());
+            let _ = stream.write_all(format!("{line}\n{more}").as_bytes());
             let _ = stream.read_to_string(&mut text);
         }
         text
