--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -6,12 +6,14 @@
 
 mod edit_at_replaced;
 mod late_withdrawal;
+mod window_after_handover;
 
 /// Plays the case of this name.
 pub fn play(name: &str, case: &Case) -> Verdict {
     match name {
         "edit-at-replaced" => edit_at_replaced::play(case),
         "late-withdrawal" => late_withdrawal::play(case),
+        "window-after-handover" => window_after_handover::play(case),
         _ => Verdict::NotRun(format!("no case is named {name}")),
     }
 }
