--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -6,6 +6,7 @@
 
 mod edit_at_replaced;
 mod late_withdrawal;
+mod stalled_successor;
 mod window_after_handover;
 
 /// Plays the case of this name.
@@ -14,6 +15,7 @@
         "edit-at-replaced" => edit_at_replaced::play(case),
         "late-withdrawal" => late_withdrawal::play(case),
         "window-after-handover" => window_after_handover::play(case),
+        "stalled-successor" => stalled_successor::play(case),
         _ => Verdict::NotRun(format!("no case is named {name}")),
     }
 }
