--- a/review/harness-2/src/balancer.rs
+++ b/review/harness-2/src/balancer.rs
@@ -101,6 +101,18 @@
     out
 }
 
+/// The records of a health check.
+pub fn health_check(id: u16) -> Vec<u8> {
+    let (mut params, mut out) = (Vec::new(), Vec::new());
+    put_param(&mut params, "REQUEST_METHOD", "GET");
+    put_param(&mut params, "SCRIPT_NAME", "/healthz");
+    put_record(&mut out, 1, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    put_record(&mut out, 4, id, &params);
+    put_record(&mut out, 4, id, b"");
+    put_record(&mut out, 5, id, b"");
+    out
+}
+
 /// The record that takes a request back.
 pub fn abort(id: u16) -> Vec<u8> {
     let mut out = Vec::new();
--- a/review/harness-2/src/interpreter.rs
+++ b/review/harness-2/src/interpreter.rs
@@ -50,6 +50,8 @@
     pub address: SocketAddr,
     name: String,
     cores: usize,
+    /// How long after the first link it comes up.
+    late: Duration,
     state: Arc<Mutex<State>>,
     record: Record,
 }
@@ -61,12 +63,18 @@
 impl Interpreter {
     /// Starts a warm interpreter.
     pub fn start(name: &str, cores: usize, record: &Record) -> Interpreter {
+        Interpreter::start_late(name, cores, Duration::ZERO, record)
+    }
+
+    /// Starts an interpreter that answers its first link so long after it was made.
+    pub fn start_late(name: &str, cores: usize, late: Duration, record: &Record) -> Interpreter {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let new = Interpreter {
             address,
             name: name.to_string(),
             cores,
+            late,
             state: Arc::default(),
             record: record.clone(),
         };
@@ -141,6 +149,11 @@
             let uid = field(&line, "uid").unwrap_or_default().to_string();
             match field(&line, "action").unwrap_or_default() {
                 "CONNECT" => {
+                    if state.links == 0 && !self.late.is_zero() {
+                        drop(state);
+                        thread::sleep(self.late);
+                        state = self.state.lock().unwrap();
+                    }
                     if let Some(old) = state.link.take() {
                         let _ = old.shutdown(Shutdown::Both);
                     }
