--- a/review/harness-2/src/balancer.rs
+++ b/review/harness-2/src/balancer.rs
@@ -37,7 +37,7 @@
 }
 
 #[derive(Default)]
-struct Read_ {
+struct Received {
     answers: BTreeMap<u16, Vec<Answer>>,
     texts: BTreeMap<u16, Vec<u8>>,
     ended: bool,
@@ -46,7 +46,7 @@
 /// One connection.
 pub struct Connection {
     stream: TcpStream,
-    read: Arc<(Mutex<Read_>, Condvar)>,
+    read: Arc<(Mutex<Received>, Condvar)>,
     uids: Arc<Mutex<BTreeMap<u16, String>>>,
     number: u64,
     record: Record,
@@ -136,9 +136,10 @@
     pub fn open(to: SocketAddr, number: u64, record: &Record) -> std::io::Result<Connection> {
         let stream = TcpStream::connect(to)?;
         stream.set_nodelay(true)?;
-        let read: Arc<(Mutex<Read_>, Condvar)> = Arc::default();
+        let read: Arc<(Mutex<Received>, Condvar)> = Arc::default();
         let uids: Arc<Mutex<BTreeMap<u16, String>>> = Arc::default();
-        let (mut from, into, record_of, names) = (stream.try_clone()?, read.clone(), record.clone(), uids.clone());
+        let (mut from, into, record_of, names) =
+            (stream.try_clone()?, read.clone(), record.clone(), uids.clone());
         thread::spawn(move || {
             let (mut input, mut chunk) = (Vec::new(), [0; 16 * 1024]);
             while let Ok(n @ 1..) = from.read(&mut chunk) {
@@ -229,11 +230,6 @@
         }
     }
 
-    /// How many answers to a request have come.
-    pub fn answers(&self, id: u16) -> usize {
-        self.read.0.lock().unwrap().answers.get(&id).map_or(0, Vec::len)
-    }
-
     /// Whether the connection has ended.
     pub fn ended(&self) -> bool {
         self.read.0.lock().unwrap().ended
--- a/review/harness-2/src/cases/edit_at_replaced.rs
+++ b/review/harness-2/src/cases/edit_at_replaced.rs
@@ -60,7 +60,11 @@
             Ok(place) => places.push(place),
             Err(e) => return Verdict::NotRun(e.to_string()),
         }
-        processes.push(places[n - 1].start(&format!("n{n}-first"), Interpreter::start("interpreter", 2, record).address, record));
+        processes.push(places[n - 1].start(
+            &format!("n{n}-first"),
+            Interpreter::start("interpreter", 2, record).address,
+            record,
+        ));
     }
     if !processes.iter().all(|process| process.ready(Duration::from_secs(20))) {
         return Verdict::NotRun("the nodos do not become ready".to_string());
@@ -98,11 +102,10 @@
     }
     said(&processes[0], "n1-first", 2);
     sleep(Duration::from_millis(700));
-    let mut old_ended = true;
     if case.trouble {
         processes[2].signal("TERM");
-        old_ended = processes[2].ends(Duration::from_millis(3700));
-        record.line(&format!("process n3-first has ended: {old_ended}"));
+        let ended = processes[2].ends(Duration::from_millis(3700));
+        record.line(&format!("process n3-first has ended: {ended}"));
     }
     let asked = later.as_ref().unwrap_or(&processes[2]);
     let until = Instant::now() + PATIENCE;
--- a/review/harness-2/src/cases/lameduck_at_upgrade.rs
+++ b/review/harness-2/src/cases/lameduck_at_upgrade.rs
@@ -48,7 +48,10 @@
             && later.call("PING").starts_with("+OK")
         {
             told = true;
-            record.line(&format!("process later says yes {:.1} s after its start", started.elapsed().as_secs_f64()));
+            record.line(&format!(
+                "process later says yes {:.1} s after its start",
+                started.elapsed().as_secs_f64()
+            ));
             earlier.signal("TERM");
         }
         let at = called.elapsed();
@@ -64,7 +67,9 @@
         record.line(&format!("process first has ended: {}", earlier.exit().is_some()));
         record.line(&format!("figures of process later: {}", later.call("INFO").trim()));
     }
-    let text = format!("{good_late} good answers to health checks later than 4 s after LAMEDUCK, {bad} bad ones in all");
+    let text = format!(
+        "{good_late} good answers to health checks later than 4 s after LAMEDUCK, {bad} bad ones in all"
+    );
     match (told, good_late) {
         (false, _) => Verdict::NotRun("the later process does not say yes".to_string()),
         (true, 0) => Verdict::Held(text),
--- a/review/harness-2/src/cases/stalled_successor.rs
+++ b/review/harness-2/src/cases/stalled_successor.rs
@@ -32,7 +32,8 @@
     let (stop, sent) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     let lost: Arc<Mutex<Vec<String>>> = Arc::default();
     let clients = (0..CONNECTIONS).map(|n| {
-        let (stop, sent, lost, record, to) = (stop.clone(), sent.clone(), lost.clone(), record.clone(), place.listen);
+        let (stop, sent, lost, record, to) =
+            (stop.clone(), sent.clone(), lost.clone(), record.clone(), place.listen);
         let (first, second) = (first.clone(), second.clone());
         spawn(move || {
             let mut connection = None;
@@ -68,7 +69,10 @@
                         sleep(Duration::from_millis(20));
                     } else if wrote && written.elapsed() > CROSSING {
                         let how = if open.ended() { "its connection ended" } else { "nothing came" };
-                        let line = format!("try {uid}: {how} {:.3} s after it was written", written.elapsed().as_secs_f64());
+                        let line = format!(
+                            "try {uid}: {how} {:.3} s after it was written",
+                            written.elapsed().as_secs_f64()
+                        );
                         record.line(&format!("balancer {}: no answer to {line}", n % 4 + 1));
                         lost.lock().unwrap().push(line);
                     }
--- a/review/harness-2/src/interpreter.rs
+++ b/review/harness-2/src/interpreter.rs
@@ -39,8 +39,6 @@
     runs: Vec<Run>,
     live: HashMap<String, (Sender<Signal>, bool)>,
     over: HashMap<String, ()>,
-    /// Commands that arrive are lost, as the link is about to break.
-    deaf: bool,
 }
 
 /// A listening stand-in.
@@ -104,24 +102,6 @@
         }
     }
 
-    /// Breaks the link; commands that arrive in the last `lost_ms` before are lost with it.
-    pub fn drop_link(&self, lost_ms: u64) {
-        let mut state = self.state.lock().unwrap();
-        state.deaf = true;
-        let link = state.links;
-        self.record.line(&format!("{}: breaks its link, and loses the commands of the last {lost_ms} ms", self.name));
-        drop(state);
-        thread::sleep(Duration::from_millis(lost_ms));
-        let mut state = self.state.lock().unwrap();
-        if state.links == link {
-            if let Some(old) = state.link.take() {
-                let _ = old.shutdown(Shutdown::Both);
-            }
-            state.links += 1;
-        }
-        state.deaf = false;
-    }
-
     fn put(state: &mut State, line: &str) {
         if let Some(link) = &mut state.link {
             let _ = link.write_all(line.as_bytes());
@@ -143,9 +123,6 @@
             if mine != 0 && mine != state.links {
                 return;
             }
-            if state.deaf && mine != 0 {
-                continue;
-            }
             let uid = field(&line, "uid").unwrap_or_default().to_string();
             match field(&line, "action").unwrap_or_default() {
                 "CONNECT" => {
@@ -183,9 +160,8 @@
                         continue;
                     }
                     let class = field(&line, "lane").unwrap_or_default().to_string();
-                    let body =
-                        String::from_utf8_lossy(&decode(field(&line, "content").unwrap_or_default()))
-                            .into_owned();
+                    let body = String::from_utf8_lossy(&decode(field(&line, "content").unwrap_or_default()))
+                        .into_owned();
                     if state.over.contains_key(&uid) {
                         Interpreter::notice(&mut state, |pos| {
                             format!(
@@ -235,7 +211,8 @@
         let mut state = self.state.lock().unwrap();
         state.live.remove(&uid);
         state.runs[index].end = Some(end);
-        let content = if end == "OK" { encode(format!("{class} {body} by {uid}").as_bytes()) } else { String::new() };
+        let content =
+            if end == "OK" { encode(format!("{class} {body} by {uid}").as_bytes()) } else { String::new() };
         let ms = began.elapsed().as_secs_f64() * 1000.0;
         self.record.line(&format!("{}: end of run of try {uid}: {end}", self.name));
         Interpreter::notice(&mut state, |pos| {
