Show replies that reach another call of their run after a break of the link

Cause: an open entry names the fault, and no case shows it; it is graver than the drained nodo of case 10, which it replaces. Change: case 8 with its script; the cases 8 and 9 are 9 and 10 now, and the former case 10 is gone, with what it alone used.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 cd "$here/../.." || exit 2
 program=review/harness-2/target/release/review-cases-2
 [ -x "$program" ] && [ -x target/release/jaspershunt ] || { echo "build first: see review/build-2.sh" >&2; exit 2; }
-exec "$program" window-after-handover "$here/record.txt"
+exec "$program" reply-after-break "$here/record.txt"
--- a/review/harness-2/src/balancer.rs
+++ b/review/harness-2/src/balancer.rs
@@ -5,7 +5,7 @@
 use crate::wire::now_ms;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -101,18 +101,6 @@
     out
 }
 
-/// The records of a health check.
-pub fn health_check(id: u16) -> Vec<u8> {
-    let (mut params, mut out) = (Vec::new(), Vec::new());
-    put_param(&mut params, "REQUEST_METHOD", "GET");
-    put_param(&mut params, "SCRIPT_NAME", "/healthz");
-    put_record(&mut out, 1, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
-    put_record(&mut out, 4, id, &params);
-    put_record(&mut out, 4, id, b"");
-    put_record(&mut out, 5, id, b"");
-    out
-}
-
 /// The record that takes a request back.
 pub fn abort(id: u16) -> Vec<u8> {
     let mut out = Vec::new();
@@ -208,11 +196,6 @@
         self.write(&abort(id))
     }
 
-    /// Closes the connection.
-    pub fn close(&self) {
-        let _ = self.stream.shutdown(Shutdown::Both);
-    }
-
     /// The first answer to a request, which comes within this time; `None` if there is none, or the connection
     /// ended before.
     pub fn answer(&self, id: u16, within: Duration) -> Option<Answer> {
--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -5,8 +5,8 @@
 use crate::{Case, Verdict, http};
 
 mod edit_at_replaced;
-mod lameduck_at_upgrade;
 mod late_withdrawal;
+mod reply_after_break;
 mod stalled_successor;
 mod window_after_handover;
 
@@ -14,9 +14,9 @@
 pub fn play(name: &str, case: &Case) -> Verdict {
     match name {
         "edit-at-replaced" => edit_at_replaced::play(case),
-        "lameduck-at-upgrade" => lameduck_at_upgrade::play(case),
         "late-withdrawal" => late_withdrawal::play(case),
         "window-after-handover" => window_after_handover::play(case),
+        "reply-after-break" => reply_after_break::play(case),
         "stalled-successor" => stalled_successor::play(case),
         _ => Verdict::NotRun(format!("no case is named {name}")),
     }
--- a/review/harness-2/src/interpreter.rs
+++ b/review/harness-2/src/interpreter.rs
@@ -48,8 +48,6 @@
     pub address: SocketAddr,
     name: String,
     cores: usize,
-    /// How long after the first link it comes up.
-    late: Duration,
     state: Arc<Mutex<State>>,
     record: Record,
 }
@@ -61,18 +59,12 @@
 impl Interpreter {
     /// Starts a warm interpreter.
     pub fn start(name: &str, cores: usize, record: &Record) -> Interpreter {
-        Interpreter::start_late(name, cores, Duration::ZERO, record)
-    }
-
-    /// Starts an interpreter that answers its first link so long after it was made.
-    pub fn start_late(name: &str, cores: usize, late: Duration, record: &Record) -> Interpreter {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let new = Interpreter {
             address,
             name: name.to_string(),
             cores,
-            late,
             state: Arc::default(),
             record: record.clone(),
         };
@@ -102,6 +94,16 @@
         }
     }
 
+    /// Breaks the link. Runs continue, and nothing that was read is forgotten.
+    pub fn break_link(&self) {
+        let mut state = self.state.lock().unwrap();
+        self.record.line(&format!("{}: its link breaks", self.name));
+        if let Some(old) = state.link.take() {
+            let _ = old.shutdown(Shutdown::Both);
+        }
+        state.links += 1;
+    }
+
     fn put(state: &mut State, line: &str) {
         if let Some(link) = &mut state.link {
             let _ = link.write_all(line.as_bytes());
@@ -126,11 +128,6 @@
             let uid = field(&line, "uid").unwrap_or_default().to_string();
             match field(&line, "action").unwrap_or_default() {
                 "CONNECT" => {
-                    if state.links == 0 && !self.late.is_zero() {
-                        drop(state);
-                        thread::sleep(self.late);
-                        state = self.state.lock().unwrap();
-                    }
                     if let Some(old) = state.link.take() {
                         let _ = old.shutdown(Shutdown::Both);
                     }
@@ -249,6 +246,12 @@
                 if state.over.contains_key(uid) {
                     return "STOPPED";
                 }
+                // A reply that came before the run waits for one is no reply to this call.
+                while let Ok(signal) = signals.try_recv() {
+                    if matches!(signal, Signal::Stop) {
+                        return "STOPPED";
+                    }
+                }
                 if let Some(live) = state.live.get_mut(uid) {
                     live.1 = true;
                 }
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -50,6 +50,7 @@
     std::thread::spawn(|| {
         std::thread::sleep(Duration::from_secs(115));
         eprintln!("the case takes too long");
+        nodo::kill_all();
         std::process::exit(2);
     });
     let case = Case {
--- a/review/harness-2/src/nodo.rs
+++ b/review/harness-2/src/nodo.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,16 @@
     r#""orgs":[{"allowancePerS":45.0,"name":"acme","share":1.0}],"overShareWorth":0.05,"servers":1,"worthBy":"work"}"#
 );
 
+/// The processes that were started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all processes that were started and not dropped, for a case that is ended before its time.
+pub fn kill_all() {
+    for id in STARTED.lock().unwrap().drain(..) {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+}
+
 /// One process of a nodo. Dropping it kills the process.
 pub struct Process {
     child: Child,
@@ -101,6 +112,7 @@
             .stderr(log)
             .spawn()
             .expect("the program starts");
+        STARTED.lock().unwrap().push(child.id());
         record.line(&format!("platform: starts process {name}"));
         Process { child, admin, config, name: name.to_string(), record: record.clone() }
     }
@@ -162,6 +174,7 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        STARTED.lock().unwrap().retain(|id| *id != self.child.id());
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
