Know a key until the last of its tries is released

Cause: the key table knew only the pending try of a key. A later try became pending when the module's decision on it was executed; if the withdrawal of the earlier one was handled before that, in the same batch, the record was removed, and start_run did nothing for want of one.

Evidence: the engine's new test failed before (a second 'apply' of the key), with no socket or process involved. The table now keeps all registered tries, so a record outlives each of them, and start_run says whether the run was recorded; one that is not fails and is not sent.

Two tests asserted that the record goes while a registered try is left, which is the fault: tries_that_did_not_run_are_known_while_queued and adopted_keys_do_not_run_... now assert that it stays until that try is released, and is gone then.

--- a/crates/keys/src/journal.rs
+++ b/crates/keys/src/journal.rs
@@ -20,10 +20,10 @@
         id: RequestId,
         /// When it arrived.
         now: f64,
-        /// Whether the pending try was still queued, if the table asked for it.
+        /// Whether the newest earlier try was still queued, if the table asked for it.
         held: bool,
     },
-    /// A try replaced the pending one: [`KeyTable::replace_pending`].
+    /// A try became the newest one: [`KeyTable::replace_pending`].
     Hold(Key, RequestId),
     /// A try was released: [`KeyTable::release_try`].
     Forget(Key, RequestId),
@@ -105,7 +105,9 @@
             }
             Operation::Hold(key, id) => keys.replace_pending(key, *id),
             Operation::Forget(key, id) => keys.release_try(key, *id),
-            Operation::Started(key, id, until) => keys.start_run(key, *id, *until),
+            Operation::Started(key, id, until) => {
+                keys.start_run(key, *id, *until);
+            }
             Operation::Ended(key, id, result) => keys.end_run(key, *id, result.map(zeros)),
             Operation::NeverRan(key, id) => keys.never_ran(key, *id),
             Operation::Expire(now) => keys.expire(*now),
@@ -195,9 +197,9 @@
     }
 
     /// Records and calls [`KeyTable::start_run`].
-    pub fn start_run(&mut self, key: &Key, id: RequestId, until: f64) {
+    pub fn start_run(&mut self, key: &Key, id: RequestId, until: f64) -> bool {
         self.record(|| Operation::Started(key.clone(), id, until), None);
-        self.keys.start_run(key, id, until);
+        self.keys.start_run(key, id, until)
     }
 
     /// Records and calls [`KeyTable::end_run`].
--- a/crates/keys/src/journal/tests.rs
+++ b/crates/keys/src/journal/tests.rs
@@ -32,7 +32,9 @@
             let earlier = RequestId(n.saturating_sub(random.next(20)));
             match random.next(9) {
                 0..=2 => drop(table.register_try(&key, random.next(2), id, now, |id| id.0 % 2 == 0)),
-                3 => table.start_run(&key, earlier, now + 5.0),
+                3 => {
+                    table.start_run(&key, earlier, now + 5.0);
+                }
                 4 => table.end_run(&key, earlier, (random.next(3) > 0).then(|| vec![0xab; 900].into())),
                 5 => table.release_try(&key, earlier),
                 6 => table.never_ran(&key, earlier),
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -64,11 +64,18 @@
 struct Record {
     /// Digest of the class and body that all tries share.
     digest: u64,
-    /// The newest try that may run, until one has run.
-    pending_try: Option<RequestId>,
+    /// The tries that were registered and not released, newest last. While there are any, one of them may still
+    /// run, so the record stays. Their number is bounded by that of the requests in flight.
+    tries: Vec<RequestId>,
     run: Option<RunRecord>,
 }
 
+impl Record {
+    fn new(digest: u64) -> Record {
+        Record { digest, tries: Vec::new(), run: None }
+    }
+}
+
 /// Why a try is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TryRejected {
@@ -135,7 +142,7 @@
 
     /// Registers a try that arrived at `arrived`. Returns the earlier try that it repeats: one that ran, and
     /// within whose window this one arrived, or one that is still queued, as `is_queued` tells. Otherwise later
-    /// tries repeat this one.
+    /// tries repeat this one. The key stays known at least until the try is released.
     ///
     /// # Errors
     ///
@@ -159,7 +166,7 @@
                 return Err(TryRejected::Full);
             }
             self.bytes += record_bytes(key);
-            self.records.insert(key.clone(), Record { digest, pending_try: None, run: None });
+            self.records.insert(key.clone(), Record::new(digest));
         }
         let Some(record) = self.records.get_mut(key) else { return Err(TryRejected::Full) };
         // Without this check, another caller could receive the result of someone else's request, or have
@@ -167,28 +174,29 @@
         if record.digest != digest {
             return Err(TryRejected::OtherBody);
         }
-        if let Some(run) = &record.run {
-            return Ok(Some(run.id));
-        }
-        let earlier = record.pending_try.filter(|pending_try| is_queued(*pending_try));
-        if earlier.is_none() {
-            record.pending_try = Some(id);
-        }
-        Ok(earlier)
+        let newest = record.tries.last().copied();
+        record.tries.push(id);
+        Ok(match &record.run {
+            Some(run) => Some(run.id),
+            None => newest.filter(|newest| is_queued(*newest)),
+        })
     }
 
-    /// Makes this try the pending one in place of an earlier one.
+    /// Makes a registered try the newest one.
     pub fn replace_pending(&mut self, key: &Key, id: RequestId) {
-        if let Some(record) = self.records.get_mut(key) {
-            record.pending_try = Some(id);
+        let Some(record) = self.records.get_mut(key) else { return };
+        if let Some(place) = record.tries.iter().position(|known| *known == id) {
+            record.tries[place..].rotate_left(1);
         }
     }
 
     /// Releases a try that has ended or is not to be known any more. A run stays recorded.
     pub fn release_try(&mut self, key: &Key, id: RequestId) {
         let Some(record) = self.records.get_mut(key) else { return };
-        if record.pending_try == Some(id) {
-            record.pending_try = None;
+        record.tries.retain(|known| *known != id);
+        if record.tries.is_empty() {
+            // A kept result has no use for the capacity.
+            record.tries = Vec::new();
         }
         self.remove_if_empty(key);
     }
@@ -252,7 +260,7 @@
         };
         if !self.records.contains_key(key) {
             self.bytes += record_bytes(key);
-            self.records.insert(key.clone(), Record { digest, pending_try: None, run: None });
+            self.records.insert(key.clone(), Record::new(digest));
         }
         let expires_at = micros(until);
         if let Some(record) = self.records.get_mut(key) {
@@ -287,12 +295,14 @@
         self.records.get(key)?.run.as_ref().map(|run| &run.state)
     }
 
-    /// Records the start of the run of this try; the key is retained until `until`.
-    pub fn start_run(&mut self, key: &Key, id: RequestId, until: f64) {
-        let Some(record) = self.records.get_mut(key) else { return };
+    /// Records the start of the run of this try; the key is retained until `until`. Returns whether it was
+    /// recorded: the key of a registered try always is. A run that is not recorded must not take place.
+    pub fn start_run(&mut self, key: &Key, id: RequestId, until: f64) -> bool {
+        let Some(record) = self.records.get_mut(key) else { return false };
         let expires_at = micros(until);
         record.run = Some(RunRecord { id, expires_at, state: RunState::Running });
         self.expirations.insert((expires_at, key.clone()));
+        true
     }
 
     /// Records the end of the run of this try. A result that does not fit in memory is not kept, and a
@@ -379,7 +389,7 @@
     }
 
     fn remove_if_empty(&mut self, key: &Key) {
-        if self.records.get(key).is_some_and(|r| r.pending_try.is_none() && r.run.is_none()) {
+        if self.records.get(key).is_some_and(|r| r.tries.is_empty() && r.run.is_none()) {
             self.records.remove(key);
             self.bytes -= record_bytes(key);
         }
@@ -427,7 +437,30 @@
             Ok(Some(RequestId(2)))
         );
         keys.release_try(&k, RequestId(2));
+        // The third try may still run.
+        assert!(keys.contains(&k) && keys.bytes() == record_bytes(&k));
+        keys.release_try(&k, RequestId(3));
+        assert_eq!(keys.bytes(), 0);
+    }
+
+    // Guards against a key that is forgotten with its earlier try while a later one may run: two runs of one key.
+    #[test]
+    fn a_key_is_known_until_the_last_of_its_tries_is_released() {
+        let (mut keys, k) = (KeyTable::new(100_000), key("k"));
+        assert_eq!(keys.register_try(&k, 7, RequestId(1), 1.0, |_| true), Ok(None));
+        assert_eq!(keys.register_try(&k, 7, RequestId(2), 1.0, |_| true), Ok(Some(RequestId(1))));
+        keys.release_try(&k, RequestId(1));
+        assert_eq!(keys.register_try(&k, 7, RequestId(3), 1.0, |_| true), Ok(Some(RequestId(2))));
+        keys.release_try(&k, RequestId(3));
+        assert_eq!(keys.register_try(&k, 7, RequestId(4), 1.0, |_| true), Ok(Some(RequestId(2))));
+        assert!(keys.start_run(&k, RequestId(2), 11.0));
+        keys.release_try(&k, RequestId(2));
+        keys.release_try(&k, RequestId(4));
+        assert_eq!(keys.register_try(&k, 7, RequestId(5), 2.0, |_| true), Ok(Some(RequestId(2))));
+        keys.never_ran(&k, RequestId(2));
+        keys.release_try(&k, RequestId(5));
         assert_eq!(keys.bytes(), 0);
+        assert!(!keys.start_run(&k, RequestId(6), 11.0), "no try of the key is registered");
     }
 
     #[test]
--- a/crates/node/src/engine/runs.rs
+++ b/crates/node/src/engine/runs.rs
@@ -101,8 +101,12 @@
                 self.write_capture(Reason::Guard);
                 return self.answer_from_key(id);
             }
-            let window = self.window_of(entry.class);
-            self.keys.start_run(&key, id, entry.arrived + window + WINDOW_SLACK_SECONDS);
+            let until = entry.arrived + self.window_of(entry.class) + WINDOW_SLACK_SECONDS;
+            if !self.keys.start_run(&key, id, until) {
+                log!(ERROR, "request {} must not run: its key is not registered", entry.uid);
+                self.write_capture(Reason::Guard);
+                return self.serve_from(id, None);
+            }
         }
         let Some(entry) = self.requests.get_mut(&id) else { return };
         entry.stage = Stage::Running;
--- a/crates/node/src/engine/tests.rs
+++ b/crates/node/src/engine/tests.rs
@@ -244,6 +244,36 @@
 }
 
 /// Guards against a refusal, for lack of room, of a keyed try whose request runs or ran.
+// Guards against a key that runs twice, as an earlier try of it is withdrawn just after a later one was read.
+#[test]
+fn a_try_withdrawn_just_after_its_next_one_leaves_the_key_known() {
+    paused(async {
+        let mut rig = Rig::new();
+        let busy = rig.work(1, 0, 0.0);
+        rig.engine.step([busy]);
+        let first = rig.work(2, 1, 0.0);
+        rig.engine.step([first]);
+        assert_eq!(rig.commands(), ["apply 1"]);
+        let next = rig.work(3, 1, 0.0);
+        rig.engine.step([next, Input::CallerGone { id: RequestId(2) }]);
+        assert_eq!(rig.answers(), [(2, Answer::Failed)]);
+        let end = rig.value(1, RunEnd::Done(vec![7]));
+        rig.engine.step([end]);
+        assert_eq!(rig.commands(), ["apply 3"]);
+        // The same while the later one runs, and after the end of its run.
+        let again = rig.work(4, 1, 0.0);
+        rig.engine.step([again, Input::CallerGone { id: RequestId(3) }]);
+        assert!(rig.commands().is_empty());
+        let end = rig.value(3, RunEnd::Done(vec![8]));
+        rig.engine.step([end]);
+        let late = rig.work(5, 1, 0.0);
+        rig.engine.step([late]);
+        assert!(rig.commands().is_empty());
+        let answers = [(1, served(&[7])), (3, Answer::Failed), (4, served(&[8])), (5, served(&[8]))];
+        assert_eq!(rig.answers(), answers);
+    });
+}
+
 #[test]
 fn a_try_without_room_is_refused_only_while_its_key_is_unknown() {
     paused(async {
--- a/crates/node/src/upgrade/claims/tests.rs
+++ b/crates/node/src/upgrade/claims/tests.rs
@@ -592,7 +592,10 @@
         // A stale outcome changes nothing.
         keys.adopt(&key(), mark, other(2), 60.0, left.clone());
         assert_eq!(keys.run_state(&key()), left.as_ref());
+        // It is known as long as a try of it is.
         keys.expire(61.0);
+        assert!(keys.contains(&key()) && keys.run_state(&key()).is_none());
+        keys.release_try(&key(), RequestId(1));
         assert_eq!((keys.bytes(), keys.contains(&key())), (0, false));
     }
 }
