Send the pending edits that either process of an upgrade accepted

Cause: pending edits are resent only by the process with a member, which had read the folder at its own start.

--- a/crates/node/src/fleet/routes.rs
+++ b/crates/node/src/fleet/routes.rs
@@ -247,8 +247,11 @@
         }
     }
 
-    /// Resends the first pending edit; returns whether the fleet has decided on it.
+    /// Resends the first pending edit; returns whether the fleet has decided on it. Edits that the other process
+    /// of an upgrade accepted are resent too, as only this process has a member.
     async fn resend_pending(&self, handle: &MemberHandle) -> bool {
+        // Guards against a stalled disk: this task also forwards the tables that route requests.
+        let _ = timeout(DISK_TIMEOUT, self.held.refresh_if_free()).await;
         let Some((key, edit)) = self.held.first() else { return false };
         match propose(handle, &edit).await {
             // Room may become free later.
@@ -279,7 +282,7 @@
             }
         };
         // Pending edits are known once they are read back, which a stalled disk delays.
-        let (shown, _) = tokio::join!(shown, timeout(DISK_TIMEOUT, self.held.turn()));
+        let (shown, _) = tokio::join!(shown, timeout(DISK_TIMEOUT, self.held.refresh()));
         let member = handle.map(|handle| handle.me.member.clone());
         let (held, not_taken) = self.held.shown();
         let file = self.file.clone();
@@ -396,7 +399,7 @@
     }
 
     async fn withdraw(&self, handle: Option<&MemberHandle>, edit: Named) -> Result<Value, String> {
-        let _ = timeout(DISK_TIMEOUT, self.held.turn()).await;
+        let _ = timeout(DISK_TIMEOUT, self.held.refresh()).await;
         if let Ok(key) = edit.among(self.held.called(&edit.team, edit.number)) {
             // The edit may have been committed and the answer lost, so it is withdrawn in the fleet too, if
             // possible.
