Fail a run that may have taken a resent reply for its next call's

Cause: RESOLVE names no call. After a break of the link a reply whose arrival was unconfirmed is sent again; a run that comes to its next call just before takes the copy for the reply to that.

The link now asks for the gauges right after the replies it sends again. A call that is read before them was made before the copy arrived, so the run is stopped and its request fails.

Evidence: the new test at a connection failed on the former code (no stop, the call was made) and passes now, in both orders.

--- a/crates/node/src/engine/input.rs
+++ b/crates/node/src/engine/input.rs
@@ -270,6 +270,13 @@
         /// The body of the call.
         content: Vec<u8>,
     },
+    /// A run waits for a call, and may have taken the reply to its former call for the reply to this one.
+    AmbiguousReply {
+        /// The number of the notice.
+        pos: u64,
+        /// The request.
+        uid: Rc<str>,
+    },
     /// The gauges, in the order of the settings; `None` for those without a reading.
     Gauges {
         /// The tag of the command.
--- a/crates/node/src/engine/runs.rs
+++ b/crates/node/src/engine/runs.rs
@@ -29,6 +29,11 @@
                 self.events.push(Event::CallWanted { id });
                 self.end_inherited(id);
             }
+            Message::AmbiguousReply { uid, .. } => {
+                if let Some(id) = self.by_uid.get(&uid).copied() {
+                    self.fail_run(id);
+                }
+            }
             Message::Gauges { tag, readings, .. } => {
                 if tag != 0 && tag == self.tag {
                     let mut gauges = Gauges::default();
@@ -181,6 +186,20 @@
         self.events.push(Event::Ended { id, outcome });
     }
 
+    /// Fails a request whose run may have been given the reply to another call: nothing that it makes may be used.
+    fn fail_run(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get(&id).filter(|entry| entry.runs()) else { return };
+        log!(
+            WARN,
+            "the run of request {} may have a wrong reply after a break of the link, and fails",
+            entry.uid
+        );
+        if self.settings.halt != StopMode::Never {
+            self.send_command(Command::Break { uid: entry.uid.clone() });
+        }
+        self.run_ended(id, RunEnd::Failed);
+    }
+
     /// Refuses a try, if nothing of its key ran here; else fails it, which promises nothing.
     pub(super) fn refuse(&mut self, id: RequestId, stay_away: f64, last: bool) {
         let Some(entry) = self.requests.get(&id) else { return };
--- a/crates/node/src/interpreter.rs
+++ b/crates/node/src/interpreter.rs
@@ -3,6 +3,10 @@
 //! Commands are kept until their arrival is confirmed. The interpreter processes commands in order, so the
 //! answer to a [`Command::Gauges`] confirms all before it. After a reconnect the link first reads all
 //! messages that it missed, and then resends unconfirmed commands that still apply.
+//!
+//! A command may so arrive twice. [`Command::Resolve`] does not name its call: a run that comes to its next call just
+//! before the second copy arrives takes that for the reply to this call. Such a run is reported by
+//! [`Message::AmbiguousReply`].
 
 use crate::config::Peers;
 use crate::engine::input::{Input, Message, RunEnd};
@@ -179,6 +183,16 @@
     })
 }
 
+/// A command whose arrival is unconfirmed.
+#[derive(Debug)]
+struct SentCommand {
+    /// Its number among the commands sent.
+    number: u64,
+    command: Command,
+    /// Whether it was sent over an earlier connection too, so that it may arrive twice.
+    resent: bool,
+}
+
 /// State of the link that outlasts its connections.
 #[derive(Debug, Default)]
 struct LinkState {
@@ -186,43 +200,74 @@
     pos: u64,
     /// Number of commands sent.
     sent: u64,
-    /// Sent commands whose arrival is unconfirmed, with their numbers.
-    unconfirmed: VecDeque<(u64, Command)>,
+    unconfirmed: VecDeque<SentCommand>,
 }
 
 impl LinkState {
     fn send(&mut self, command: Command, out: &mut Vec<u8>) {
+        self.write(command, false, out);
+    }
+
+    /// Sends the unconfirmed commands again.
+    fn resend(&mut self, out: &mut Vec<u8>) {
+        let unconfirmed = std::mem::take(&mut self.unconfirmed);
+        let has_replies = unconfirmed.iter().any(|sent| matches!(sent.command, Command::Resolve { .. }));
+        for sent in unconfirmed {
+            self.write(sent.command, true, out);
+        }
+        if has_replies {
+            // Separates the calls that a run made before these replies arrived from those it makes after them.
+            self.write(CATCH_UP, false, out);
+        }
+    }
+
+    fn write(&mut self, command: Command, resent: bool, out: &mut Vec<u8>) {
         command.write(out, self.sent);
         if command.uid().is_some() {
             self.sent += 1;
-            self.unconfirmed.push_back((self.sent, command));
+            self.unconfirmed.push_back(SentCommand { number: self.sent, command, resent });
         }
     }
 
-    /// Updates the state and returns whether a message is new. Messages repeated after a reconnect are
-    /// skipped. A message of a run confirms its earlier commands, which must not be sent again.
-    fn accept(&mut self, message: &Message) -> bool {
+    /// Updates the state and returns the message for the engine, if it is new. Messages repeated after a
+    /// reconnect are skipped. A message of a run confirms its earlier commands, which must not be sent again.
+    fn accept(&mut self, message: Message) -> Option<Message> {
         match message {
-            Message::Value { pos, uid, .. } | Message::Await { pos, uid, .. } => {
-                if *pos <= self.pos {
-                    return false;
-                }
-                self.advance(*pos);
-                let over = matches!(message, Message::Value { .. });
+            Message::Value { pos, ref uid, .. } if pos > self.pos => {
+                self.advance(pos);
+                self.unconfirmed.retain(|sent| sent.command.uid() != Some(uid));
+            }
+            Message::Await { pos, uid, content } if pos > self.pos => {
+                self.advance(pos);
+                let is_ambiguous = self.has_resent_reply(&uid);
                 // A run that makes a new call has processed all its commands except possibly a stop.
-                self.unconfirmed
-                    .retain(|(_, c)| c.uid() != Some(uid) || !over && matches!(c, Command::Break { .. }));
+                self.unconfirmed.retain(|sent| {
+                    sent.command.uid() != Some(&uid) || matches!(sent.command, Command::Break { .. })
+                });
+                return Some(if is_ambiguous {
+                    Message::AmbiguousReply { pos, uid }
+                } else {
+                    Message::Await { pos, uid, content }
+                });
             }
-            Message::Remark { pos } if *pos <= self.pos => return false,
-            Message::Remark { pos } => self.advance(*pos),
+            Message::Remark { pos } if pos > self.pos => self.advance(pos),
+            Message::Value { .. } | Message::Await { .. } | Message::Remark { .. } => return None,
             Message::Gauges { vouches, .. } => {
-                while self.unconfirmed.front().is_some_and(|(number, _)| number <= vouches) {
+                while self.unconfirmed.front().is_some_and(|sent| sent.number <= vouches) {
                     self.unconfirmed.pop_front();
                 }
             }
-            Message::Banner { .. } | Message::Rejected { .. } => {}
+            Message::AmbiguousReply { .. } | Message::Banner { .. } | Message::Rejected { .. } => {}
         }
-        true
+        Some(message)
+    }
+
+    /// Whether the reply to the former call of a run was sent again, and its arrival is unconfirmed. If the first
+    /// copy had arrived, the run may take the second one for the reply to its present call.
+    fn has_resent_reply(&self, uid: &Rc<str>) -> bool {
+        self.unconfirmed.iter().any(|sent| {
+            sent.resent && sent.command.uid() == Some(uid) && matches!(sent.command, Command::Resolve { .. })
+        })
     }
 
     fn advance(&mut self, pos: u64) {
@@ -313,9 +358,7 @@
                     let caught_up_now = self.process_input(state).await?;
                     if caught_up_now && !caught_up {
                         caught_up = true;
-                        for (_, command) in std::mem::take(&mut state.unconfirmed) {
-                            state.send(command, &mut self.output);
-                        }
+                        state.resend(&mut self.output);
                         if self.engine.send(Input::LinkUp).await.is_err() {
                             return Ok(());
                         }
@@ -355,7 +398,8 @@
                         Message::Rejected { command, .. } if command == "TOP" => caught_up = true,
                         _ => {}
                     }
-                    if state.accept(&message) && self.engine.send(Input::Interpreter(message)).await.is_err()
+                    if let Some(message) = state.accept(message)
+                        && self.engine.send(Input::Interpreter(message)).await.is_err()
                     {
                         return Ok(caught_up);
                     }
@@ -389,7 +433,7 @@
             Command::Stub { .. } => "stub",
             Command::Gauges { .. } => "gauges",
         };
-        state.unconfirmed.iter().map(|(_, command)| name(command)).collect()
+        state.unconfirmed.iter().map(|sent| name(&sent.command)).collect()
     }
 
     #[test]
@@ -398,22 +442,47 @@
         let wait = |pos| Message::Await { pos, uid: uid(), content: vec![] };
         state.send(Command::Apply { uid: uid(), class: "c".into(), body: [].into() }, &mut out);
         assert_eq!(unconfirmed(&state), ["apply"]);
-        assert!(state.accept(&wait(1)));
+        assert!(state.accept(wait(1)).is_some());
         state.send(Command::Resolve { uid: uid(), content: vec![].into() }, &mut out);
         // A repeated message confirms nothing sent since.
-        assert!(!state.accept(&wait(1)));
+        assert!(state.accept(wait(1)).is_none());
         assert_eq!(unconfirmed(&state), ["resolve"]);
         // Otherwise the next call would be answered with the reply to this one.
-        assert!(state.accept(&wait(2)));
+        assert!(state.accept(wait(2)).is_some());
         state.send(Command::Stub { uid: uid(), pos: 2 }, &mut out);
         state.send(Command::Break { uid: uid() }, &mut out);
         assert_eq!(unconfirmed(&state), ["stub", "break"]);
-        assert!(state.accept(&wait(3)));
+        assert!(state.accept(wait(3)).is_some());
         assert_eq!(unconfirmed(&state), ["break"], "a stop command stays unconfirmed");
-        assert!(state.accept(&Message::Value { pos: 4, uid: uid(), end: RunEnd::Stopped }));
+        assert!(state.accept(Message::Value { pos: 4, uid: uid(), end: RunEnd::Stopped }).is_some());
         assert!(unconfirmed(&state).is_empty());
     }
 
+    // Guards against a call that is taken for answered with the reply to the call before it: see [`Message::AmbiguousReply`].
+    #[test]
+    fn a_call_before_the_second_copy_of_a_reply_is_confirmed_is_ambiguous() {
+        let wait = |pos| Message::Await { pos, uid: uid(), content: vec![] };
+        for (confirmed, breaks) in [(false, 1), (false, 2), (true, 1)] {
+            let (mut state, mut out) = (LinkState::default(), Vec::new());
+            assert_eq!(state.accept(wait(1)), Some(wait(1)));
+            state.send(Command::Resolve { uid: uid(), content: vec![].into() }, &mut out);
+            assert!(!state.has_resent_reply(&uid()), "one copy can only reach the call that it is for");
+            for _ in 0..breaks {
+                state.resend(&mut out);
+            }
+            let echo = format!(r#""echo":"0-{}""#, state.sent);
+            assert!(String::from_utf8(out.clone()).unwrap().trim_end().ends_with(&format!("{echo}}}")));
+            if confirmed {
+                state.accept(Message::Gauges { tag: 0, vouches: state.sent, readings: vec![] });
+                assert_eq!(state.accept(wait(2)), Some(wait(2)));
+            } else {
+                assert_eq!(state.accept(wait(2)), Some(Message::AmbiguousReply { pos: 2, uid: uid() }));
+            }
+            assert!(unconfirmed(&state).is_empty());
+            assert_eq!(state.accept(wait(3)), Some(wait(3)));
+        }
+    }
+
     #[test]
     fn gauges_confirm_only_the_commands_before_them() {
         let (mut state, mut out) = (LinkState::default(), Vec::new());
@@ -422,7 +491,7 @@
         state.send(Command::Stub { uid: uid(), pos: 1 }, &mut out);
         let line = String::from_utf8(out).unwrap();
         assert!(line.contains(r#""echo":"7-1""#), "{line}");
-        state.accept(&Message::Gauges { tag: 7, vouches: 1, readings: vec![] });
+        state.accept(Message::Gauges { tag: 7, vouches: 1, readings: vec![] });
         assert_eq!(unconfirmed(&state), ["stub"]);
     }
 }
--- a/crates/node/tests/peer_races.rs
+++ b/crates/node/tests/peer_races.rs
@@ -116,6 +116,51 @@
     });
 }
 
+/// Guards against answers made with the reply to another call: a reply is sent again after a break of the link, and
+/// its run has come to its next call before the second copy arrives. It may have taken that for the reply to the next
+/// call, so its request fails; a run that comes to its next call later goes on.
+#[test]
+fn a_run_that_may_have_taken_a_resent_reply_for_another_call_fails() {
+    local(async {
+        for comes_first in [true, false] {
+            let mut nodo = Nodo::start().await;
+            let mut balancer = nodo.connect().await;
+            let (uid, mut call) = start_run_with_call(&mut nodo, &mut balancer, "sign").await;
+            call.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nrows").await;
+            assert!(nodo.link.command().await.contains("RESOLVE"));
+            nodo.link = Peer::accept_after_break(nodo.link, &nodo.interpreter).await;
+            catch_up(&mut nodo.link, 1, "").await;
+            assert!(nodo.link.line().await.unwrap().contains("RESOLVE"));
+            let gauges = nodo.link.line().await.unwrap();
+            assert!(gauges.contains(r#""TOP""#), "nothing separates the calls: {gauges}");
+            let next = format!(r#"{{"action":"AWAIT","pos":2,"uid":"{uid}","content":"cXVlcnk="}}"#) + "\n";
+            let echo = field(&gauges, "echo");
+            let tops = format!(r#"{{"action":"TOPS","echo":"{echo}","meters":[0.5,1]}}"#) + "\n";
+            if comes_first {
+                nodo.link.send(next + &tops).await;
+                assert!(nodo.link.command().await.contains("BREAK"));
+                nodo.link.send(value(3, &uid, "OK", "d3Jvbmc=")).await;
+            } else {
+                nodo.link.send(tops + &next).await;
+                tokio::select! {
+                    _ = call.http() => {}
+                    accepted = nodo.database.accept() => {
+                        call = Peer::new(accepted.unwrap().0);
+                        call.http().await;
+                    }
+                }
+                call.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore").await;
+                let resolved = nodo.link.command().await;
+                assert!(resolved.contains("RESOLVE") && resolved.contains("bW9yZQ=="), "{resolved}");
+                nodo.link.send(value(3, &uid, "OK", "ZG9uZQ==")).await;
+            }
+            let status = if comes_first { "Status: 500" } else { "Status: 200" };
+            let (_, answer, _) = balancer.answer().await.unwrap();
+            assert!(answer.starts_with(status), "{answer}");
+        }
+    });
+}
+
 /// The nodo is terminated during a call. The run still gets the reply, and its request the result, whether
 /// the reply comes together with the signal or well after it.
 #[test]
