Run a request without a key once though it comes again after its client left

Callers of classes that must not run twice and have no key: a request that was sent again with its correlation id, as its connection had been reset, ran again once the first run had ended.

Cause: an id was known only while its request was open or ran.

Requests that were unread at a reset did not run before either.

Not mended: the later process of an upgrade does not know these ids.

--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -7,6 +7,7 @@
 //! first.
 
 pub mod journal;
+pub mod recent_ids;
 
 use jaspershunt::RequestId;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,6 +12,7 @@
 use crate::directory::Mode;
 use crate::interpreter::{self, Command};
 use crate::keys::journal::JournaledKeyTable;
+use crate::keys::recent_ids::RecentIds;
 use crate::log;
 use crate::request::{Answer, Key, Label, Reply, ReplyTo};
 use jaspershunt::{Action, CallerFeedback, Controller, Event, Gauges, RequestId, Settings};
@@ -198,6 +199,8 @@
     by_uid: HashMap<Rc<str>, RequestId>,
     keys: JournaledKeyTable,
     followers: BTreeMap<Key, Vec<RequestId>>,
+    /// The ids of ended requests that ran, must not run twice and have no key.
+    recent_ids: RecentIds,
     /// Events for the module's next step.
     events: Vec<Event>,
     feedback: Option<f64>,
@@ -265,6 +268,7 @@
             by_uid: HashMap::new(),
             keys: JournaledKeyTable::new(config.bounds.kept, capture.is_some()),
             followers: BTreeMap::new(),
+            recent_ids: RecentIds::default(),
             events: Vec::new(),
             feedback: None,
             module_healthy: true,
@@ -338,6 +342,7 @@
         self.check_ownership();
         self.begin_capture();
         self.expire_keys();
+        self.recent_ids.expire(self.now);
         for input in batch {
             self.handle_input(input);
         }
--- a/crates/node/src/engine/arrivals.rs
+++ b/crates/node/src/engine/arrivals.rs
@@ -9,7 +9,7 @@
 use crate::log;
 use crate::request::{Answer, Key, Label, Reply, ReplyTo, Work};
 use crate::upgrade::claims::{Claims, Placement};
-use jaspershunt::{Event, Outcome, Request, RequestId};
+use jaspershunt::{Event, Outcome, Repeat, Request, RequestId};
 use jaspershunt_routes::trial::RequestEnd as Tried;
 
 /// Time for which callers are asked to send nothing when a limit of the route table is reached; about the
@@ -27,6 +27,8 @@
         self.channels.desk.counts.borrow_mut().taken(&self.settings.classes[class].name);
         let admitted = match goes {
             Placement::Rejected => Err((reply, Answer::Failed)),
+            // Its balancer sent it again as its connection had ended: it must neither run again nor be refused.
+            _ if self.recent_ids.contains(&work.uid) => Err((reply, Answer::Failed)),
             // Checked before the request is recorded in the fleet: work taken over from another nodo is
             // always run. A try whose key is known adds no work.
             _ if !self.is_key_known(&work) && self.exceeds_route_limits(&work) => {
@@ -270,6 +272,11 @@
         self.give_up_call(id);
         let Some(entry) = self.requests.remove(&id) else { return };
         self.by_uid.remove(&entry.uid);
+        let class = &self.settings.classes[entry.class];
+        if entry.started && matches!(class.repeat, Repeat::Unsafe) {
+            // A balancer waits no longer than the deadline, so it does not send the request again after that.
+            self.recent_ids.insert(entry.uid.clone(), self.now + class.deadline);
+        }
         if let Some(key) = &entry.key {
             self.keys.release_try(key, id);
             if entry.started {
