Tell the later process of an upgrade the ids that must not run again

Cause: only keys were handed over. The ids that are remembered, and those of the open requests, now go with the table, as entries whose key is longer than an operation key may be: the form stays, and so does the link between this build and the one before.

--- a/crates/keys/src/recent_ids.rs
+++ b/crates/keys/src/recent_ids.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// The ids with the times until which they are remembered.
+    pub fn entries(&self) -> impl Iterator<Item = (Rc<str>, f64)> {
+        self.expirations.iter().map(|(until, id)| (id.clone(), crate::seconds(*until)))
+    }
+
     /// Whether a request with this id ran.
     pub fn contains(&self, id: &str) -> bool {
         self.ids.contains_key(id)
--- a/crates/keys/src/recent_ids/tests.rs
+++ b/crates/keys/src/recent_ids/tests.rs
@@ -10,6 +10,7 @@
     ids.insert("a".into(), 7.0);
     ids.expire(6.5);
     assert!(ids.contains("a") && !ids.contains("b"));
+    assert_eq!(ids.entries().collect::<Vec<_>>(), [("a".into(), 7.0)]);
     ids.expire(7.1);
     assert!(!ids.contains("a") && ids.expirations.is_empty());
 }
--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -206,7 +206,9 @@
             };
             wire::Entry { key: key.clone(), digest, until: until + epoch, state }
         });
-        let all = Vec::from_iter(entries);
+        let ids =
+            self.ids_that_must_not_run_again().map(|(id, until)| wire::Entry::of_id(&id, until + epoch));
+        let all = Vec::from_iter(entries.chain(ids));
         let count = all.len();
         let said = wire::pieces(all).into_iter().all(|piece| self.partner.send(Message::Table(piece)));
         let load = self.load();
@@ -244,6 +246,18 @@
         true
     }
 
+    /// The correlation ids of the requests without a key that run, may still run or ran here and must not run twice,
+    /// each with the time until which it may come again.
+    fn ids_that_must_not_run_again(&self) -> impl Iterator<Item = (Rc<str>, f64)> {
+        let open = self.requests.values().filter_map(|entry| {
+            let class = &self.settings.classes[entry.class];
+            // The request may run until its deadline, and come again for as long after its end.
+            let until = self.now + 2.0 * class.deadline;
+            matches!(class.repeat, Repeat::Unsafe).then(|| (entry.uid.clone(), until))
+        });
+        open.chain(self.recent_ids.entries())
+    }
+
     /// This process's use of the common resources.
     fn load(&self) -> Load {
         let kb: f64 = self.requests.values().map(|entry| entry.held_kb).sum();
@@ -357,6 +371,9 @@
     /// Takes over the state of a key.
     fn adopt(&mut self, entry: wire::Entry) {
         let until = entry.until - self.epoch;
+        if let Some(id) = entry.id() {
+            return self.recent_ids.insert(id.into(), until);
+        }
         self.partner.adopted += 1;
         let id = RequestId(FIRST_ADOPTED_ID.0 + self.partner.adopted);
         let (run, result) = match entry.state {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -10,7 +10,7 @@
 /// The longest body of a request, in bytes.
 pub const MAX_BODY_BYTES: usize = 2 * 1024;
 /// The longest operation key, in bytes.
-const MAX_KEY_BYTES: usize = 128;
+pub const MAX_KEY_BYTES: usize = 128;
 /// Upper bound of the memory that a request may need, exclusive.
 const MAX_REQUEST_KB: f64 = 2_000.0;
 /// The largest valid estimate of a request's work: an hour.
--- a/crates/node/src/upgrade/wire.rs
+++ b/crates/node/src/upgrade/wire.rs
@@ -1,7 +1,7 @@
 //! The messages between two processes of one nodo, and their encoding: a length of four bytes in
 //! little-endian order, then the message in postcard. Without I/O.
 
-use crate::request::{Answer, Label, Reply, Work};
+use crate::request::{Answer, Label, MAX_KEY_BYTES, Reply, Work};
 use jaspershunt::CallerId;
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -17,6 +17,8 @@
 /// line of the interpreter.
 pub const MAX_PIECE_BYTES: usize = 128 * 1024;
 const LENGTH_BYTES: usize = 4;
+/// The length of the key in an entry for a correlation id: more than an operation key may have.
+const ID_KEY_BYTES: usize = MAX_KEY_BYTES + 1;
 
 /// A message. The descriptor of a connection is sent with its message, the listener's with
 /// [`Message::Welcome`], [`Message::Yield`] and [`Message::Listener`], and the ownership file's with
@@ -137,6 +139,18 @@
 }
 
 impl Entry {
+    /// Creates an entry for a request without a key that may have run, and must not run again until this time. It has
+    /// the form of a key, so that [`VERSION`] stays the same: builds that do not know it keep a key without tries.
+    pub fn of_id(id: &str, until: f64) -> Entry {
+        let key = format!("{id:>ID_KEY_BYTES$}").into();
+        Entry { key, digest: 0, until, state: State::Failed }
+    }
+
+    /// Returns the correlation id, if the entry is for one.
+    pub fn id(&self) -> Option<&str> {
+        (self.key.len() >= ID_KEY_BYTES).then(|| self.key.trim_start())
+    }
+
     /// Estimates the bytes that it takes in a message.
     fn size(&self) -> usize {
         let result = if let State::Done(result) = &self.state { result.len() } else { 0 };
--- a/crates/node/src/upgrade/wire/tests.rs
+++ b/crates/node/src/upgrade/wire/tests.rs
@@ -121,3 +121,12 @@
         prop_assert!(input.len() <= bytes.len());
     }
 }
+
+/// The longest operation key is no correlation id, and an id survives the message.
+#[test]
+fn entries_of_ids_differ_from_those_of_keys() {
+    let entry = Entry::of_id("9b1f03aa5c7e2d41", 5.0);
+    assert_eq!(entry.id(), Some("9b1f03aa5c7e2d41"));
+    let key = "k".repeat(MAX_KEY_BYTES).into();
+    assert_eq!(Entry { key, ..entry }.id(), None);
+}
--- a/crates/node/tests/hostile_clients.rs
+++ b/crates/node/tests/hostile_clients.rs
@@ -300,6 +300,9 @@
     })
 }
 
+/// The name of a kind of clients, how they send, and what.
+type Unfinished = (&'static str, Sending, fn() -> Vec<u8>);
+
 /// Guards against a process that passes its memory limit and is killed, with as many clients connected at once as its
 /// descriptors allow, that write slowly, stop half way, or send heads of very many short fields.
 #[test]
@@ -308,7 +311,7 @@
         let (nodo, incarnation) = started("unfinished").await;
         let observer = Observer::start(&nodo, &incarnation);
         sleep(Duration::from_millis(500)).await;
-        let kinds: [(&str, Sending, fn() -> Vec<u8>); 9] = [
+        let kinds: [Unfinished; 9] = [
             ("slow bodies", Sending::Slowly, half_bodies),
             ("slow heads", Sending::Slowly, short_records),
             ("half bodies", Sending::Once, half_bodies),
@@ -428,6 +431,9 @@
     vec![b'x'; 1000]
 }
 
+/// The name of a flood, and what is sent in its rounds.
+type Flood = (&'static str, fn(u64) -> Vec<u8>);
+
 /// Guards against answers to others that come late or never, and against memory that grows, while one client sends
 /// small or unsound requests on one connection at full speed, also under ever new names.
 #[test]
@@ -436,7 +442,7 @@
         let (nodo, incarnation) = started("full-speed").await;
         let observer = Observer::start(&nodo, &incarnation);
         sleep(Duration::from_millis(500)).await;
-        let kinds: [(&str, fn(u64) -> Vec<u8>); 8] = [
+        let kinds: [Flood; 8] = [
             ("unknown classes", unknown_classes),
             ("new tenants", new_tenants),
             ("begun and aborted", begun_and_aborted),
