Read what an ended process wrote though nothing can be sent to it

Cause: the link of two processes ended with a failed write; what lay unread in it was dropped, with the connections. A link that the other process has closed now ends by its reading alone, on both sides.

--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -114,6 +114,18 @@
     io::Error::new(io::ErrorKind::TimedOut, "no message within the time limit")
 }
 
+/// Sends all messages of a queue, until the queue is closed or a message cannot be sent. If the other process has closed
+/// the link, it never returns: what that process wrote before must still be read, and the end of the link is found
+/// by reading.
+async fn send_while_open(writer: Writer, messages: mpsc::Receiver<Out>) -> io::Result<()> {
+    match writer.send_all(messages).await {
+        Err(e) if matches!(e.kind(), io::ErrorKind::BrokenPipe | io::ErrorKind::ConnectionReset) => {
+            std::future::pending().await
+        }
+        ended => ended,
+    }
+}
+
 /// Sends heartbeats, and returns once the other end is silent.
 async fn until_silent(silence: &Cell<SilenceDetector>, out: &mpsc::Sender<Out>) -> io::Error {
     let began = Instant::now();
@@ -208,7 +220,7 @@
     };
     let ended: io::Result<bool> = tokio::select! {
         ended = reading => ended,
-        ended = writer.send_all(outs) => ended.map(|()| false),
+        ended = send_while_open(writer, outs) => ended.map(|()| false),
         e = until_silent(&silence, &out) => Err(e),
     };
     let is_silent = ended.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::TimedOut);
@@ -708,7 +720,7 @@
         };
         tokio::select! {
             ended = reading => ended,
-            ended = writer.send_all(outs) => ended,
+            ended = send_while_open(writer, outs) => ended,
             e = until_silent(&silence, &out) => Err(e),
         }
     }
@@ -739,3 +751,6 @@
         let _ = timeout(RESPONSE_TIMEOUT, writer.send(&Message::NotNow { why }, None)).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -244,6 +244,36 @@
     });
 }
 
+/// Guards against connections that are dropped with their requests: the later process stalls as it has taken over, and
+/// the earlier one ends meanwhile, so that its messages are still unread when the later one finds the link closed.
+#[test]
+fn connections_passed_on_to_a_process_that_stalls_are_served() {
+    local(async {
+        let mut site = nodo("stalled").await;
+        let mut earlier = site.start().await.unwrap();
+        // Each connection is passed on with the end of its first request, and its next one meets the stall.
+        let address = site.address;
+        let client = |number: u64| async move {
+            let balancer = Balancer::new(address, number, None);
+            let first = balancer.send(&keyed("slow", &number.to_string(), false), PATIENCE).await;
+            (first.status, balancer.send(&Request::new("read", b"next"), PATIENCE).await.status)
+        };
+        let clients: Vec<_> = (1..=6).map(|number| spawn_local(client(number))).collect();
+        while site.interpreters[0].runs().len() < clients.len() {
+            sleep(Duration::from_millis(2)).await;
+        }
+        let later = site.start().await.unwrap();
+        later.process.pause();
+        earlier.process.terminate();
+        assert!(earlier.process.wait().await, "it exits with a failure");
+        sleep(Duration::from_millis(300)).await;
+        later.process.resume();
+        for client in clients {
+            assert_eq!(client.await.unwrap(), (200, 200), "{}", site.logs());
+        }
+    });
+}
+
 /// When the earlier process is killed, the later one keeps the keys it received; in-flight runs have failed.
 #[test]
 fn when_the_earlier_process_is_killed_the_later_one_keeps_its_keys() {
