Extend the windows that the other process of an upgrade reports later

Cause: the report of the end replaced the extended window by the earlier process's own.

What settings taken during the link have added is now added to windows reported afterwards, up to the longest window from now.

--- a/crates/node/src/engine/keys.rs
+++ b/crates/node/src/engine/keys.rs
@@ -42,7 +42,7 @@
         if by > 0.0 {
             let longest = names.classes().map(window).fold(0.0, f64::max);
             // Every key that ran has arrived by now.
-            self.keys.extend_windows(by, self.now + longest + WINDOW_SLACK_SECONDS);
+            self.extend_windows(by, self.now + longest + WINDOW_SLACK_SECONDS);
         }
     }
 
--- a/crates/node/src/engine/tests/reload.rs
+++ b/crates/node/src/engine/tests/reload.rs
@@ -2,6 +2,8 @@
 //! only when idle.
 
 use super::*;
+use crate::engine::input::Peer;
+use crate::upgrade::wire;
 
 /// The settings of the tests with `from` replaced by `to`.
 fn changed(from: &str, to: &str) -> String {
@@ -93,6 +95,31 @@
     });
 }
 
+/// Guards against a key that runs again within its window: the other process of an upgrade reports the end of its run
+/// after this one has taken settings with a longer window, which that process has not.
+#[test]
+fn a_run_that_ends_in_the_other_process_counts_with_a_longer_window_taken_here() {
+    paused(async {
+        let mut rig = Rig::with(&window(5));
+        let entry = |state| {
+            let (key, digest) = (Key::from("one key"), crate::keys::digest("sign", &[1]));
+            // The run of a try that arrived as the test began.
+            wire::Entry { key, digest, until: UNIX + 5.0 + WINDOW_SLACK_SECONDS, state }
+        };
+        let running = entry(wire::State::InFlight);
+        rig.engine.step([Input::Peer(Peer::Table(vec![running]))]);
+        rig.until(1.0).await;
+        reload(&mut rig, &window(60));
+        rig.until(3.0).await;
+        let ended = entry(wire::State::Done([7][..].into()));
+        rig.engine.step([Input::Peer(Peer::Ended(ended))]);
+        rig.until(59.9).await;
+        assert!(!runs(&mut rig, 2, 0.0));
+        rig.until(60.2).await;
+        assert!(runs(&mut rig, 3, 0.0), "it is remembered for too long");
+    });
+}
+
 /// Guards against a window that grows with each change back and forth.
 #[test]
 fn windows_that_change_back_and_forth_end() {
--- a/crates/node/src/engine/upgrade.rs
+++ b/crates/node/src/engine/upgrade.rs
@@ -43,6 +43,8 @@
     load: Load,
     /// When the load is sent next.
     load_due: f64,
+    /// By how many seconds settings that were taken during this link have extended the windows of keys.
+    windows_extended_by: f64,
 }
 
 impl Partner {
@@ -368,12 +370,21 @@
 
     // The process that takes over.
 
+    /// Extends the windows of the known keys, and of those that the other process has yet to report: it counts them by
+    /// the settings that it has.
+    pub(super) fn extend_windows(&mut self, by: f64, latest_end: f64) {
+        self.keys.extend_windows(by, latest_end);
+        self.partner.windows_extended_by += by;
+    }
+
     /// Takes over the state of a key.
     fn adopt(&mut self, entry: wire::Entry) {
         let until = entry.until - self.epoch;
         if let Some(id) = entry.id() {
             return self.recent_ids.insert(id.into(), until);
         }
+        let latest_end = self.now + longest_window(&self.settings);
+        let until = until.max((until + self.partner.windows_extended_by).min(latest_end));
         self.partner.adopted += 1;
         let id = RequestId(FIRST_ADOPTED_ID.0 + self.partner.adopted);
         let (run, result) = match entry.state {
